--- /dev/null
+++ b/cmd/pomelotiller/check.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"pomelotiller/internal/config/checker"
+	"pomelotiller/internal/config/loader"
+)
+
+// checkVerb returns the verb that checks a configuration without a daemon.
+func checkVerb() *cobra.Command {
+	return &cobra.Command{
+		Use:     "check FILE",
+		Short:   "Check a configuration without publishing it",
+		Example: "  pomelotiller check examples/granite.yaml",
+		Args:    cobra.ExactArgs(1),
+		RunE: verb(func(_ context.Context, cmd *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			set, err := checker.Check(text)
+			if err != nil {
+				return describeFaults(args[0], err)
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: %d organisations, %d pools, %d versions, %d routes, %d moves: in order\n", args[0],
+				len(set.Organisations), len(set.Pools), len(set.Versions), len(set.Routes), len(set.Moves))
+			return nil
+		}).run,
+	}
+}
+
+func describeFaults(path string, err error) error {
+	var faults *loader.FaultsError
+	if !errors.As(err, &faults) {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return fmt.Errorf("%s: %w", path, &refusedError{answer: faultAnswer(faults)})
+}
--- /dev/null
+++ b/cmd/pomelotiller/get.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/spf13/cobra"
+)
+
+// getVerb returns the verb that reads the configuration in force.
+func getVerb() *cobra.Command {
+	var f operatorFlags
+	cmd := &cobra.Command{
+		Use:     "get",
+		Short:   "Print the configuration in force at a daemon",
+		Example: "  pomelotiller get -a 10.0.0.1:8081 > granite.yaml",
+		Args:    cobra.NoArgs,
+		RunE: verb(func(ctx context.Context, cmd *cobra.Command, _ []string) error {
+			a, err := f.call(ctx, http.MethodGet, "/config", nil, "")
+			if err != nil {
+				return err
+			}
+			_, err = cmd.OutOrStdout().Write(a.body)
+			return err
+		}).run,
+	}
+	f.register(cmd)
+	return cmd
+}
--- /dev/null
+++ b/cmd/pomelotiller/moves.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// moveRow is what the moves verb shows of one move.
+type moveRow struct {
+	Name   string    `json:"name"`
+	Route  string    `json:"route"`
+	State  string    `json:"state"`
+	Share  float64   `json:"share"`
+	By     time.Time `json:"by"`
+	Reason string    `json:"reason,omitempty"`
+}
+
+// movesVerb returns the verb that lists moves and whether each is done.
+func movesVerb() *cobra.Command {
+	var f operatorFlags
+	cmd := &cobra.Command{
+		Use:     "moves",
+		Short:   "List moves between versions, and whether each is done or reverted",
+		Example: "  pomelotiller moves -a 10.0.0.1:8081",
+		Args:    cobra.NoArgs,
+		RunE: verb(func(ctx context.Context, cmd *cobra.Command, _ []string) error {
+			moves, err := read[[]moveRow](ctx, &f, "/moves")
+			if err != nil {
+				return err
+			}
+			return f.print(cmd.OutOrStdout(), moves, "NAME\tROUTE\tSTATE\tSHARE\tBY\tREASON", func(w io.Writer) {
+				for _, m := range moves {
+					fmt.Fprintf(w, "%s\t%s\t%s\t%g\t%s\t%s\n", m.Name, m.Route, m.State, m.Share, m.By.Format(time.RFC3339), m.Reason)
+				}
+			})
+		}).run,
+	}
+	f.register(cmd)
+	return cmd
+}
--- /dev/null
+++ b/cmd/pomelotiller/operator.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"pomelotiller/internal/daemon/informer"
+)
+
+const operatorTimeout = 10 * time.Second
+
+// operatorFlags are the flags of every verb that asks a daemon.
+type operatorFlags struct {
+	address string
+	output  string
+}
+
+func (f *operatorFlags) register(cmd *cobra.Command) {
+	cmd.Flags().StringVarP(&f.address, "address", "a", "127.0.0.1:8081", "operator address of any daemon")
+	cmd.Flags().StringVarP(&f.output, "output", "o", "table", "form of the output: table or json")
+}
+
+// answer is what a daemon answered.
+type answer struct {
+	status int
+	etag   string
+	body   []byte
+}
+
+// refusedError is a call that the daemon refused.
+type refusedError struct {
+	status int
+	answer informer.Error
+}
+
+// Error lists the faults of a configuration, one a line.
+func (e *refusedError) Error() string {
+	if len(e.answer.Faults) == 0 {
+		return e.answer.Error
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d faults", len(e.answer.Faults))
+	for _, f := range e.answer.Faults {
+		b.WriteString("\n  " + f.String())
+	}
+	return b.String()
+}
+
+// call asks the daemon, and turns a refusal into a *refusedError.
+func (f *operatorFlags) call(ctx context.Context, method, path string, body []byte, match string) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.address+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{}, err
+	}
+	if match != "" {
+		req.Header.Set("If-Match", match)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}, fmt.Errorf("daemon %s does not answer: %w", f.address, err)
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return answer{}, fmt.Errorf("daemon %s: %w", f.address, err)
+	}
+	if res.StatusCode >= http.StatusMultipleChoices {
+		return answer{}, refused(res.StatusCode, b)
+	}
+	return answer{status: res.StatusCode, etag: strings.Trim(res.Header.Get("ETag"), `"`), body: b}, nil
+}
+
+func refused(status int, body []byte) error {
+	e := &refusedError{status: status}
+	if err := json.Unmarshal(body, &e.answer); err != nil {
+		return fmt.Errorf("status %d: %s", status, bytes.TrimSpace(body))
+	}
+	return e
+}
+
+// print writes v as JSON, or as a table made by rows.
+func (f *operatorFlags) print(w io.Writer, v any, header string, rows func(w io.Writer)) error {
+	switch f.output {
+	case "json":
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	case "table":
+		t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+		fmt.Fprintln(t, header)
+		rows(t)
+		return t.Flush()
+	}
+	return fmt.Errorf("output %q is not one of table, json", f.output)
+}
+
+// read asks for a JSON document.
+func read[T any](ctx context.Context, f *operatorFlags, path string) (T, error) {
+	var v T
+	a, err := f.call(ctx, http.MethodGet, path, nil, "")
+	if err != nil {
+		return v, err
+	}
+	if err := json.Unmarshal(a.body, &v); err != nil {
+		return v, fmt.Errorf("daemon %s: decode answer: %w", f.address, err)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,82 @@
+// Command standin runs one stand-in of the outside systems for tests: the
+// platform, a model engine, a plain service or a fault-injecting proxy.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"pomelotiller/internal/standin/faulter"
+	"pomelotiller/internal/standin/generator"
+	"pomelotiller/internal/standin/keeper"
+	"pomelotiller/internal/standin/servicer"
+)
+
+const headerTimeout = 10 * time.Second
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	root := &cobra.Command{Use: "standin", Short: "Run a stand-in of an outside system", SilenceUsage: true}
+	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), faultproxyCommand())
+	if err := root.ExecuteContext(ctx); err != nil {
+		os.Exit(1)
+	}
+}
+
+func platformCommand() *cobra.Command {
+	return serving(&cobra.Command{Use: "platform", Short: "Key-value service, host list, cloud and weight store"},
+		func() http.Handler { return keeper.New().Handler() })
+}
+
+func engineCommand() *cobra.Command {
+	var cfg generator.Config
+	cmd := &cobra.Command{Use: "engine", Short: "Model engine"}
+	cmd.Flags().StringSliceVar(&cfg.Versions, "versions", nil, "versions loaded at the start")
+	cmd.Flags().DurationVar(&cfg.FirstToken, "first", 0, "time to the first token")
+	cmd.Flags().DurationVar(&cfg.TokenTime, "token", 0, "time between tokens")
+	cmd.Flags().BoolVar(&cfg.Fencing, "fencing", false, "refuse orders with an old fencing number")
+	return serving(cmd, func() http.Handler { return generator.New(cfg).Handler() })
+}
+
+func serviceCommand() *cobra.Command {
+	var cfg servicer.Config
+	cmd := &cobra.Command{Use: "service", Short: "Plain service that counts its runs"}
+	cmd.Flags().BoolVar(&cfg.Status, "status", false, "answer status look-ups")
+	cmd.Flags().DurationVar(&cfg.Delay, "delay", 0, "time that a run takes")
+	return serving(cmd, func() http.Handler { return servicer.New(cfg).Handler() })
+}
+
+func faultproxyCommand() *cobra.Command {
+	return serving(&cobra.Command{Use: "faultproxy", Short: "TCP and UDP proxy with faults by command"},
+		func() http.Handler { return faulter.NewPanel(context.Background()).Handler() })
+}
+
+// serving makes cmd serve the handler on --listen and print its address.
+func serving(cmd *cobra.Command, handler func() http.Handler) *cobra.Command {
+	listen := cmd.Flags().String("listen", "127.0.0.1:0", "address to listen on")
+	cmd.Args = cobra.NoArgs
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		ln, err := (&net.ListenConfig{}).Listen(cmd.Context(), "tcp", *listen)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(cmd.OutOrStdout(), ln.Addr())
+		srv := &http.Server{Handler: handler(), ReadHeaderTimeout: headerTimeout}
+		context.AfterFunc(cmd.Context(), func() { srv.Close() })
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	}
+	return cmd
+}
--- /dev/null
+++ b/internal/config/checker/checker.go
@@ -0,0 +1,226 @@
+// Package checker checks a whole configuration set: names, references, shares,
+// times and bounds. It reports everything wrong, not only the first fault.
+package checker
+
+import (
+	"fmt"
+	"regexp"
+
+	"pomelotiller/internal/config/loader"
+)
+
+const (
+	maxFirstShare = 5.0
+	wholeShare    = 100.0
+	maxSetBytes   = 1 << 20
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+	keyPattern  = regexp.MustCompile(`^sha256:[0-9a-f]{64}$`)
+)
+
+// Check parses and checks a set. All faults come as a *loader.FaultsError.
+func Check(text []byte) (loader.Set, error) {
+	if len(text) > maxSetBytes {
+		return loader.Set{}, &loader.FaultsError{Faults: []loader.Fault{{
+			Object: "set", Problem: fmt.Sprintf("is %d bytes long", len(text)), Want: "at most 1 MiB, the store's limit",
+		}}}
+	}
+	doc, err := loader.Parse(text)
+	if err != nil {
+		return loader.Set{}, err
+	}
+	c := &check{doc: doc}
+	c.names()
+	c.organisations()
+	c.pools()
+	c.versions()
+	c.routes()
+	c.moves()
+	if len(c.faults) > 0 {
+		return loader.Set{}, &loader.FaultsError{Faults: c.faults}
+	}
+	return doc.Set, nil
+}
+
+type check struct {
+	doc    loader.Document
+	faults []loader.Fault
+}
+
+func (c *check) add(object, field, want, problem string, args ...any) {
+	c.faults = append(c.faults, loader.Fault{
+		Object: object, Field: field, Line: c.doc.Line(object, field),
+		Problem: fmt.Sprintf(problem, args...), Want: want,
+	})
+}
+
+func (c *check) names() {
+	s := c.doc.Set
+	checkNames(c, "organisations", s.Organisations, func(o loader.Organisation) string { return o.Name })
+	checkNames(c, "pools", s.Pools, func(p loader.Pool) string { return p.Name })
+	checkNames(c, "versions", s.Versions, func(v loader.Version) string { return v.Name })
+	checkNames(c, "routes", s.Routes, func(r loader.Route) string { return r.Name })
+	checkNames(c, "moves", s.Moves, func(m loader.Move) string { return m.Name })
+}
+
+func checkNames[T any](c *check, section string, all []T, nameOf func(T) string) {
+	seen := make(map[string]bool)
+	for i, v := range all {
+		name := nameOf(v)
+		object := section + "/" + name
+		switch {
+		case name == "":
+			c.add(fmt.Sprintf("%s/#%d", section, i+1), "name", "a name of its own", "is missing")
+		case !namePattern.MatchString(name):
+			c.add(object, "name", "lower-case letters, digits, dots and hyphens, at most 63", "%q is not a valid name", name)
+		case seen[name]:
+			c.add(object, "name", "a name of its own", "%q stands twice", name)
+		}
+		seen[name] = true
+	}
+}
+
+func (c *check) organisations() {
+	keys := make(map[string]string)
+	for _, o := range c.doc.Set.Organisations {
+		object := "organisations/" + o.Name
+		if !keyPattern.MatchString(o.Key) {
+			c.add(object, "key", "sha256: and 64 hexadecimal digits", "is not the hash of a key")
+		} else if other := keys[o.Key]; other != "" {
+			c.add(object, "key", "a key of its own", "is also the key of %q", other)
+		}
+		keys[o.Key] = o.Name
+		if o.Weight < 1 {
+			c.add(object, "weight", "1 or more", "is %d", o.Weight)
+		}
+		if o.Rate < 0 {
+			c.add(object, "rate", "0 or more requests a second", "is %g", o.Rate)
+		}
+		switch o.Priority {
+		case "", loader.PriorityHigh, loader.PriorityNormal, loader.PriorityLow:
+		default:
+			c.add(object, "priority", "one of high, normal, low", "is %q", o.Priority)
+		}
+	}
+}
+
+func (c *check) pools() {
+	for _, p := range c.doc.Set.Pools {
+		object := "pools/" + p.Name
+		if p.Domain == "" {
+			c.add(object, "domain", "the failure domain of its hosts", "is missing")
+		}
+		if p.Class == "" {
+			c.add(object, "class", "the platform's name of a host class", "is missing")
+		}
+		if p.Price < 0 {
+			c.add(object, "price", "0 or more an hour", "is %g", p.Price)
+		}
+		if p.Reserve < 0 {
+			c.add(object, "reserve", "0 or more hosts", "is %d", p.Reserve)
+		}
+	}
+}
+
+func (c *check) versions() {
+	for _, v := range c.doc.Set.Versions {
+		object := "versions/" + v.Name
+		if len(v.Pools) == 0 {
+			c.add(object, "pools", "one pool or more", "is empty")
+		}
+		for _, name := range v.Pools {
+			if _, ok := c.doc.Set.Pool(name); !ok {
+				c.add(object, "pools", "the name of a pool", "pool %q does not exist", name)
+			}
+		}
+	}
+}
+
+func (c *check) routes() {
+	for _, r := range c.doc.Set.Routes {
+		object := "routes/" + r.Name
+		if r.Kind != loader.KindModel && r.Kind != loader.KindService {
+			c.add(object, "kind", "one of model, service", "is %q", r.Kind)
+		}
+		if r.Kind == loader.KindModel && (r.Target.First <= 0 || r.Target.Token <= 0) {
+			c.add(object, "target", "first and token above 0", "is missing or not above 0")
+		}
+		if r.Timeout < 0 {
+			c.add(object, "timeout", "0 or more", "is %s", r.Timeout.Std())
+		}
+		c.shares(object, r)
+	}
+}
+
+func (c *check) shares(object string, r loader.Route) {
+	var sum float64
+	seen := make(map[string]bool)
+	for _, s := range r.Versions {
+		v, ok := c.doc.Set.Version(s.Version)
+		switch {
+		case !ok:
+			c.add(object, "versions", "the name of a version", "version %q does not exist", s.Version)
+		case r.Kind == loader.KindModel && v.Model == "":
+			c.add(object, "versions", "a version with a model", "version %q has no model", s.Version)
+		}
+		if seen[s.Version] {
+			c.add(object, "versions", "each version once", "version %q stands twice", s.Version)
+		}
+		seen[s.Version] = true
+		if s.Share < 0 || s.Share > wholeShare {
+			c.add(object, "versions", "from 0 to 100", "share of %q is %g", s.Version, s.Share)
+		}
+		sum += s.Share
+	}
+	if sum != wholeShare {
+		c.add(object, "versions", "shares that add up to 100", "shares add up to %g", sum)
+	}
+}
+
+func (c *check) moves() {
+	moving := make(map[string]string)
+	for _, m := range c.doc.Set.Moves {
+		object := "moves/" + m.Name
+		if r, ok := c.doc.Set.Route(m.Route); !ok {
+			c.add(object, "route", "the name of a route", "route %q does not exist", m.Route)
+		} else if other := moving[m.Route]; other != "" {
+			c.add(object, "route", "one move a route", "route %q has move %q already", m.Route, other)
+		} else if !serves(r, m.From) {
+			c.add(object, "from", "a version that the route serves", "version %q is not served by route %q", m.From, m.Route)
+		}
+		moving[m.Route] = m.Name
+		if _, ok := c.doc.Set.Version(m.To); !ok {
+			c.add(object, "to", "the name of a version", "version %q does not exist", m.To)
+		}
+		if m.From == m.To {
+			c.add(object, "to", "another version than from", "is the version it moves from")
+		}
+		c.moveBounds(object, m)
+	}
+}
+
+func (c *check) moveBounds(object string, m loader.Move) {
+	if m.By.IsZero() {
+		c.add(object, "by", "an instant such as 2026-12-04T06:00:00Z", "is missing")
+	}
+	if m.First < 0 || m.First > maxFirstShare {
+		c.add(object, "first", "above 0 and at most 5 percent", "is %g", m.First)
+	}
+	if m.Bounds.Errors < 0 || m.Bounds.Errors >= 1 {
+		c.add(object, "bounds", "errors from 0 to below 1", "errors is %g", m.Bounds.Errors)
+	}
+	if m.Bounds.Slow < 0 || m.Bounds.Slow >= 1 {
+		c.add(object, "bounds", "slow from 0 to below 1", "slow is %g", m.Bounds.Slow)
+	}
+}
+
+func serves(r loader.Route, version string) bool {
+	for _, s := range r.Versions {
+		if s.Version == version {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/config/loader/settings.go
@@ -0,0 +1,92 @@
+package loader
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	// Name identifies the daemon among its peers.
+	Name string `yaml:"name"`
+	// Domain is the failure domain that the daemon runs in.
+	Domain string `yaml:"domain"`
+	// Callers is the address on which callers are served.
+	Callers string `yaml:"callers"`
+	// Operators is the address on which operators are served.
+	Operators string `yaml:"operators"`
+	// Peers is the address, over UDP, on which other daemons are served.
+	Peers string `yaml:"peers"`
+	// Advertise is the address that other daemons use, if not Peers.
+	Advertise string `yaml:"advertise,omitempty"`
+	// Platform is the address of the platform's services.
+	Platform string `yaml:"platform"`
+	// Seeds are peer addresses to start from, beside the host list.
+	Seeds []string `yaml:"seeds,omitempty"`
+	// TLS names the key material for connections between daemons.
+	TLS TLS `yaml:"tls"`
+	// Log configures the log.
+	Log Log `yaml:"log,omitempty"`
+	// Trace configures tracing.
+	Trace Trace `yaml:"trace,omitempty"`
+	// Drain is how long the daemon goes on listening after it is told to
+	// stop, for a balancer that learns late.
+	Drain Duration `yaml:"drain,omitempty"`
+}
+
+// TLS names files in PEM form.
+type TLS struct {
+	Cert string `yaml:"cert"`
+	Key  string `yaml:"key"`
+	CA   string `yaml:"ca"`
+}
+
+// Log configures the log of a daemon.
+type Log struct {
+	Format string `yaml:"format,omitempty"`
+	Level  string `yaml:"level,omitempty"`
+}
+
+// Trace configures the tracing of a daemon.
+type Trace struct {
+	Export  string `yaml:"export,omitempty"`
+	Address string `yaml:"address,omitempty"`
+}
+
+// ReadSettings reads and checks a daemon's settings file.
+func ReadSettings(path string) (Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	var s Settings
+	if err := yaml.UnmarshalWithOptions(b, &s, yaml.Strict()); err != nil {
+		return Settings{}, &FaultsError{Faults: []Fault{syntaxFault("settings", err)}}
+	}
+	if faults := s.check(); len(faults) > 0 {
+		return Settings{}, &FaultsError{Faults: faults}
+	}
+	return s, nil
+}
+
+func (s Settings) check() []Fault {
+	var faults []Fault
+	for _, f := range []struct{ field, value, want string }{
+		{"name", s.Name, "a name, unique among the daemons"},
+		{"domain", s.Domain, "the failure domain of the host"},
+		{"callers", s.Callers, "an address such as 10.0.0.1:8080"},
+		{"operators", s.Operators, "an address such as 10.0.0.1:8081"},
+		{"peers", s.Peers, "an address such as 10.0.0.1:8082"},
+		{"platform", s.Platform, "an address such as 10.0.0.9:2379"},
+		{"tls.cert", s.TLS.Cert, "a file with a certificate in PEM form"},
+		{"tls.key", s.TLS.Key, "a file with a key in PEM form"},
+		{"tls.ca", s.TLS.CA, "a file with the authority's certificate in PEM form"},
+	} {
+		if f.value == "" {
+			faults = append(faults, Fault{Object: "settings", Field: f.field, Problem: "is missing", Want: f.want})
+		}
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/daemon/assembler/assembler.go
@@ -0,0 +1,262 @@
+// Package assembler puts a daemon together from its parts and runs them until
+// its context ends.
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"pomelotiller/internal/config/loader"
+	"pomelotiller/internal/control/controller"
+	"pomelotiller/internal/control/publisher"
+	"pomelotiller/internal/daemon/informer"
+	"pomelotiller/internal/fleet/gossiper"
+	"pomelotiller/internal/fleet/messenger"
+	"pomelotiller/internal/fleet/prober"
+	"pomelotiller/internal/fleet/viewer"
+	"pomelotiller/internal/observe/logger"
+	"pomelotiller/internal/observe/tracer"
+	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/traffic/admitter"
+	"pomelotiller/internal/traffic/listener"
+	"pomelotiller/internal/traffic/recorder"
+	"pomelotiller/internal/traffic/relayer"
+	"pomelotiller/internal/traffic/router"
+)
+
+const (
+	operatorHeaderTimeout = 10 * time.Second
+	flushTimeout          = 2 * time.Second
+	// leaveTime is how long a leaving daemon goes on gossiping that it leaves.
+	leaveTime = time.Second
+)
+
+// Config configures a Daemon.
+type Config struct {
+	Settings loader.Settings
+	// Out receives the log, and the spans if they go to stdout.
+	Out io.Writer
+}
+
+// Daemon is one entry daemon.
+type Daemon struct {
+	settings  loader.Settings
+	logger    log.Logger
+	registry  metrics.Registry
+	tracer    tracer.Tracer
+	flush     func(context.Context) error
+	holder    viewer.Holder
+	release   atomic.Pointer[publisher.Release]
+	callers   net.Listener
+	operators net.Listener
+	messenger *messenger.Messenger
+	gossiper  *gossiper.Gossiper
+	control   *controller.Controller
+	watcher   *publisher.Watcher
+	prober    *prober.Prober
+	listener  *listener.Listener
+	informer  *informer.Informer
+	drain     chan struct{}
+	// ctx bounds the life of the control parts; end ends it.
+	ctx context.Context
+	end context.CancelFunc
+}
+
+// New listens on the daemon's addresses and builds its parts. The values of ctx
+// reach all of them; its end ends them without a planned stop.
+func New(ctx context.Context, cfg Config) (*Daemon, error) {
+	s := cfg.Settings
+	l, err := logger.New(logger.Config{Writer: cfg.Out, Format: s.Log.Format, Level: s.Log.Level}, "daemon", s.Name)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{settings: s, logger: l, registry: metrics.NewRegistry(), drain: make(chan struct{}, 1)}
+	d.ctx, d.end = context.WithCancel(ctx)
+	if d.tracer, d.flush, err = tracer.New(ctx, tracer.Config{
+		Export: s.Trace.Export, Address: s.Trace.Address, Writer: cfg.Out, Process: s.Name,
+	}); err != nil {
+		return nil, err
+	}
+	if err := d.listen(ctx); err != nil {
+		return nil, err
+	}
+	d.build()
+	return d, nil
+}
+
+func (d *Daemon) listen(ctx context.Context) error {
+	var err error
+	var lc net.ListenConfig
+	s := d.settings
+	if d.callers, err = lc.Listen(ctx, "tcp", s.Callers); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	if d.operators, err = lc.Listen(ctx, "tcp", s.Operators); err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	d.messenger, err = messenger.New(messenger.Config{Listen: s.Peers, Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA})
+	return err
+}
+
+func (d *Daemon) build() {
+	s := d.settings
+	store := storer.NewClient(storer.ClientConfig{Address: s.Platform})
+	incarnation := uint64(time.Now().UnixNano())
+	self := viewer.Member{
+		Name: s.Name, Domain: s.Domain, Peers: d.advertise(), Operators: d.operators.Addr().String(), Incarnation: incarnation,
+	}
+	d.release.Store(&publisher.Release{})
+	d.gossiper = gossiper.New(gossiper.Config{
+		Self: self, Sender: d.messenger, Seeds: func() []string { return s.Seeds },
+		Changed: d.membersChanged, Logger: d.logger, Registry: d.registry,
+	})
+	d.control = controller.New(controller.Config{
+		Holder: &d.holder, Lister: lister.NewClient(lister.ClientConfig{Address: s.Platform}),
+		Adopted: d.adopted, Logger: d.logger, Registry: d.registry,
+	})
+	d.watcher = publisher.NewWatcher(publisher.WatcherConfig{
+		Store: store, Caller: d.messenger, Current: d.current, Adopt: func(r publisher.Release) { d.control.Adopt(d.ctx, r) },
+		Peers: d.peers, Logger: d.logger, Registry: d.registry,
+	})
+	d.prober = prober.New(prober.Config{
+		Endpoints: func() []viewer.Endpoint { return d.holder.Load().Endpoints },
+		Report:    func(r []prober.Report) { d.control.SetReports(d.ctx, r) },
+	})
+	d.buildTraffic(store, fmt.Sprintf("%s/%d", s.Name, incarnation))
+}
+
+func (d *Daemon) buildTraffic(store storer.Store, owner string) {
+	s := d.settings
+	rt := router.New(router.Config{})
+	rec := recorder.New(recorder.Config{Store: store, Owner: owner})
+	d.listener = listener.New(listener.Config{
+		View: d.holder.Load, Admitter: admitter.New(), Recorder: rec, Tracer: d.tracer, Registry: d.registry,
+		Relayer: relayer.New(relayer.Config{
+			View: d.holder.Load, Router: rt, Domain: s.Domain, HTTP: inferrer.NewHTTP(), Tracer: d.tracer, Registry: d.registry,
+		}),
+		Runner: recorder.NewRunner(recorder.RunnerConfig{
+			Recorder: rec, Router: rt, View: d.holder.Load, Domain: s.Domain, Tracer: d.tracer, Registry: d.registry,
+		}),
+	})
+	d.informer = informer.New(informer.Config{
+		View: d.holder.Load, Current: d.current, Publisher: publisher.New(publisher.Config{Store: store}),
+		Recorder: rec, Drain: d.Drain, Registry: d.registry,
+	})
+}
+
+// advertise returns the address at which other daemons reach this one.
+func (d *Daemon) advertise() string {
+	if d.settings.Advertise != "" {
+		return d.settings.Advertise
+	}
+	return d.messenger.Address()
+}
+
+// Callers returns the address on which callers are served.
+func (d *Daemon) Callers() string { return d.callers.Addr().String() }
+
+// Operators returns the address on which operators are served.
+func (d *Daemon) Operators() string { return d.operators.Addr().String() }
+
+// View returns what the daemon knows at present.
+func (d *Daemon) View() viewer.View { return d.holder.Load() }
+
+// Peers returns the address on which other daemons are served.
+func (d *Daemon) Peers() string { return d.messenger.Address() }
+
+// Drain starts a planned stop.
+func (d *Daemon) Drain() {
+	select {
+	case d.drain <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Daemon) current() publisher.Release { return *d.release.Load() }
+
+func (d *Daemon) adopted(r publisher.Release) {
+	d.release.Store(&r)
+	d.gossiper.SetGeneration(r.Generation)
+}
+
+func (d *Daemon) membersChanged() { d.control.SetMembers(d.ctx, d.gossiper.Members()) }
+
+func (d *Daemon) peers() []publisher.Peer {
+	var peers []publisher.Peer
+	for _, m := range d.gossiper.Members() {
+		if m.Name != d.settings.Name && m.State != viewer.StateGone {
+			peers = append(peers, publisher.Peer{Address: m.Peers, Generation: m.Generation})
+		}
+	}
+	return peers
+}
+
+// Run serves until stop ends or Drain is called, then stops in order: traffic
+// first, control last. It returns once all parts have ended.
+func (d *Daemon) Run(stop context.Context) error {
+	serving, endServing := context.WithCancel(context.WithoutCancel(d.ctx))
+	defer endServing()
+	defer d.end()
+	var g errgroup.Group
+	for _, f := range []func(context.Context) error{
+		d.messenger.Run, d.gossiper.Run, d.control.Run, d.control.RunHosts,
+		d.watcher.RunStore, d.watcher.RunPeers, d.prober.Run, d.serveOperators,
+	} {
+		g.Go(func() error {
+			defer endServing()
+			return f(d.ctx)
+		})
+	}
+	g.Go(func() error {
+		select {
+		case <-stop.Done():
+		case <-d.drain:
+		case <-serving.Done():
+		}
+		d.log("msg", "draining")
+		d.gossiper.SetState(viewer.StateLeaving)
+		endServing()
+		return nil
+	})
+	g.Go(func() error {
+		defer d.end()
+		err := d.listener.Serve(serving, d.callers, d.settings.Drain.Std())
+		time.Sleep(leaveTime)
+		return err
+	})
+	d.membersChanged()
+	d.log("msg", "serving", "callers", d.Callers(), "operators", d.Operators(), "peers", d.Peers())
+	err := g.Wait()
+	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), flushTimeout)
+	defer cancel()
+	d.log("msg", "stopped")
+	return errors.Join(err, d.flush(flushCtx))
+}
+
+func (d *Daemon) serveOperators(ctx context.Context) error {
+	srv := &http.Server{Handler: d.informer.Handler(), ReadHeaderTimeout: operatorHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { srv.Close() })
+	defer stop()
+	if err := srv.Serve(d.operators); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve operators: %w", err)
+	}
+	return nil
+}
+
+func (d *Daemon) log(fields ...any) {
+	// A logger that fails has nowhere to say so.
+	_ = level.Info(d.logger).Log(fields...)
+}
--- /dev/null
+++ b/internal/daemon/informer/informer.go
@@ -0,0 +1,158 @@
+// Package informer serves operators over HTTP: configuration, members, moves,
+// orders, metrics and drain.
+package informer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rcrowley/go-metrics"
+
+	"pomelotiller/internal/config/checker"
+	"pomelotiller/internal/config/loader"
+	"pomelotiller/internal/control/publisher"
+	"pomelotiller/internal/fleet/viewer"
+	"pomelotiller/internal/observe/meter"
+	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/traffic/recorder"
+)
+
+const maxConfigBytes = 2 << 20
+
+// Config configures an Informer.
+type Config struct {
+	// View returns the current view.
+	View func() viewer.View
+	// Current returns the release in force at this daemon.
+	Current   func() publisher.Release
+	Publisher *publisher.Publisher
+	Recorder  *recorder.Recorder
+	// Drain starts a planned stop.
+	Drain    func()
+	Registry metrics.Registry
+}
+
+// Informer serves operators.
+type Informer struct {
+	cfg Config
+}
+
+// New returns an informer.
+func New(cfg Config) *Informer { return &Informer{cfg: cfg} }
+
+// Error is the body of a refused call.
+type Error struct {
+	Error  string         `json:"error"`
+	Faults []loader.Fault `json:"faults,omitempty"`
+	// Generation and Text are the configuration that a publish conflicts with.
+	Generation uint64 `json:"generation,omitempty"`
+	Text       string `json:"text,omitempty"`
+}
+
+// Published is the answer to a publish.
+type Published struct {
+	Generation uint64 `json:"generation"`
+}
+
+// Handler returns the handler of all paths for operators.
+func (i *Informer) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/config", i.serveConfig)
+	r.Put("/config", i.servePublish)
+	r.Post("/config/check", i.serveCheck)
+	r.Get("/members", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, i.cfg.View().Members) })
+	r.Get("/endpoints", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, i.cfg.View().Endpoints) })
+	r.Get("/orders/{id}", i.serveOrder)
+	r.Post("/drain", func(w http.ResponseWriter, _ *http.Request) {
+		i.cfg.Drain()
+		w.WriteHeader(http.StatusAccepted)
+	})
+	r.Method(http.MethodGet, "/metrics", meter.Handler(i.cfg.Registry))
+	return r
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the operator is gone; there is nobody to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func replyError(w http.ResponseWriter, err error) {
+	body := Error{Error: err.Error()}
+	status := http.StatusServiceUnavailable
+	var faults *loader.FaultsError
+	var conflict *publisher.ConflictError
+	switch {
+	case errors.As(err, &faults):
+		status, body.Faults = http.StatusUnprocessableEntity, faults.Faults
+	case errors.As(err, &conflict):
+		status, body.Generation, body.Text = http.StatusPreconditionFailed, conflict.Current.Generation, string(conflict.Current.Text)
+	case errors.Is(err, storer.ErrNotFound):
+		status = http.StatusNotFound
+	}
+	reply(w, status, body)
+}
+
+func (i *Informer) serveConfig(w http.ResponseWriter, _ *http.Request) {
+	r := i.cfg.Current()
+	w.Header().Set("ETag", fmt.Sprintf("%q", strconv.FormatUint(r.Generation, 10)))
+	w.Header().Set("Content-Type", "application/yaml")
+	// A failed write means that the operator is gone; there is nobody to tell.
+	_, _ = w.Write(r.Text)
+}
+
+func (i *Informer) servePublish(w http.ResponseWriter, r *http.Request) {
+	want, err := parseMatch(r.Header.Get("If-Match"))
+	if err != nil {
+		reply(w, http.StatusBadRequest, Error{Error: err.Error()})
+		return
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigBytes))
+	if err != nil {
+		reply(w, http.StatusRequestEntityTooLarge, Error{Error: err.Error()})
+		return
+	}
+	release, err := i.cfg.Publisher.Publish(r.Context(), text, want, i.cfg.Current().Generation)
+	if err != nil {
+		replyError(w, err)
+		return
+	}
+	reply(w, http.StatusOK, Published{Generation: release.Generation})
+}
+
+func parseMatch(v string) (uint64, error) {
+	n, err := strconv.ParseUint(strings.Trim(v, `"`), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("If-Match %q is not a generation; want the number that GET /config gives as ETag, 0 for the first publish", v)
+	}
+	return n, nil
+}
+
+func (i *Informer) serveCheck(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigBytes))
+	if err != nil {
+		reply(w, http.StatusRequestEntityTooLarge, Error{Error: err.Error()})
+		return
+	}
+	if _, err := checker.Check(text); err != nil {
+		replyError(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (i *Informer) serveOrder(w http.ResponseWriter, r *http.Request) {
+	o, err := i.cfg.Recorder.Get(r.Context(), chi.URLParam(r, "id"))
+	if err != nil {
+		replyError(w, err)
+		return
+	}
+	reply(w, http.StatusOK, o)
+}
--- /dev/null
+++ b/internal/observe/tracer/tracer.go
@@ -0,0 +1,66 @@
+// Package tracer sets up tracing: one span for each hop of a request, with the
+// W3C trace context taken in from callers and passed on to endpoints.
+package tracer
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// Config configures tracing.
+type Config struct {
+	// Export is "off", "stdout" or "otlp".
+	Export string
+	// Address is the host and port of the OTLP collector.
+	Address string
+	// Writer receives the spans of the "stdout" export.
+	Writer io.Writer
+	// Process names the process in its spans.
+	Process string
+}
+
+// Tracer starts spans and carries their context over HTTP headers.
+type Tracer struct {
+	trace.Tracer
+	Propagation propagation.TextMapPropagator
+}
+
+// New returns a tracer and a function that flushes and stops its export.
+func New(ctx context.Context, cfg Config) (Tracer, func(context.Context) error, error) {
+	prop := propagation.TraceContext{}
+	var exp sdktrace.SpanExporter
+	var err error
+	switch cfg.Export {
+	case "", "off":
+		return Off(), func(context.Context) error { return nil }, nil
+	case "stdout":
+		exp, err = stdouttrace.New(stdouttrace.WithWriter(cfg.Writer))
+	case "otlp":
+		exp, err = otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(cfg.Address), otlptracehttp.WithInsecure())
+	default:
+		return Tracer{}, nil, fmt.Errorf("trace export %q is not one of off, stdout, otlp", cfg.Export)
+	}
+	if err != nil {
+		return Tracer{}, nil, fmt.Errorf("trace export %q: %w", cfg.Export, err)
+	}
+	p := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exp),
+		sdktrace.WithResource(resource.NewSchemaless(attribute.String("service.name", cfg.Process))),
+	)
+	return Tracer{Tracer: p.Tracer("pomelotiller"), Propagation: prop}, p.Shutdown, nil
+}
+
+// Off returns a tracer that records nothing and still passes trace context on.
+func Off() Tracer {
+	return Tracer{Tracer: noop.NewTracerProvider().Tracer("pomelotiller"), Propagation: propagation.TraceContext{}}
+}
--- /dev/null
+++ b/internal/platform/lister/lister.go
@@ -0,0 +1,91 @@
+// Package lister reads the platform's list of hosts. The list lags: a host may
+// be leaving or gone for some time before the list says so.
+package lister
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Role says what runs on a host.
+type Role string
+
+// Roles of hosts.
+const (
+	RoleEngine  Role = "engine"
+	RoleService Role = "service"
+	RoleEntry   Role = "entry"
+)
+
+// State is the platform's view of a host.
+type State string
+
+// States of hosts.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// Host is one entry of the platform's list.
+type Host struct {
+	Name        string    `json:"name"`
+	Domain      string    `json:"domain"`
+	Pool        string    `json:"pool,omitempty"`
+	Class       string    `json:"class,omitempty"`
+	Role        Role      `json:"role"`
+	Address     string    `json:"address"`
+	State       State     `json:"state"`
+	Reclaimable bool      `json:"reclaimable,omitempty"`
+	LeaveAt     time.Time `json:"leave_at,omitzero"`
+}
+
+// Lister returns the hosts that the platform knows of.
+type Lister interface {
+	Hosts(ctx context.Context) ([]Host, error)
+}
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	// Address is the host and port of the platform.
+	Address string
+	// Timeout bounds one call.
+	Timeout time.Duration
+}
+
+// Client is a Lister over HTTP and JSON.
+type Client struct {
+	cfg  ClientConfig
+	http *http.Client
+}
+
+// NewClient returns a client of the list at cfg.Address.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = 2 * time.Second
+	}
+	return &Client{cfg: cfg, http: &http.Client{Timeout: cfg.Timeout, Transport: &http.Transport{}}}
+}
+
+// Hosts implements Lister.
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.cfg.Address+"/hosts", nil)
+	if err != nil {
+		return nil, fmt.Errorf("list hosts: %w", err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("list hosts: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("list hosts: status %d", res.StatusCode)
+	}
+	var hosts []Host
+	if err := json.NewDecoder(res.Body).Decode(&hosts); err != nil {
+		return nil, fmt.Errorf("list hosts: %w", err)
+	}
+	return hosts, nil
+}
--- /dev/null
+++ b/internal/platform/storer/client.go
@@ -0,0 +1,219 @@
+package storer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
+)
+
+const (
+	defaultCallTimeout = 2 * time.Second
+	defaultWatchWait   = 2 * time.Second
+	watchSlack         = time.Second
+	firstRetryDelay    = 20 * time.Millisecond
+	maxRetryDelay      = 250 * time.Millisecond
+	maxAnswerBytes     = 64 << 20
+)
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	// Address is the host and port of the service.
+	Address string
+	// CallTimeout bounds one attempt of a call.
+	CallTimeout time.Duration
+	// WatchWait is how long the service may hold a watch open. It bounds how
+	// long a watch on a silent connection goes unnoticed.
+	WatchWait time.Duration
+	// Attempts is the number of tries of a write before it stays unsettled.
+	Attempts uint
+}
+
+// Client is a Store over HTTP and JSON.
+type Client struct {
+	cfg  ClientConfig
+	http *http.Client
+}
+
+// NewClient returns a client of the service at cfg.Address.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.CallTimeout == 0 {
+		cfg.CallTimeout = defaultCallTimeout
+	}
+	if cfg.WatchWait == 0 {
+		cfg.WatchWait = defaultWatchWait
+	}
+	if cfg.Attempts == 0 {
+		cfg.Attempts = 3
+	}
+	t := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
+	return &Client{cfg: cfg, http: &http.Client{Transport: t}}
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+	var e Entry
+	status, err := c.call(ctx, http.MethodGet, "/kv?key="+url.QueryEscape(key), nil, &e)
+	if err != nil {
+		return Entry{}, err
+	}
+	if status == http.StatusNotFound {
+		return Entry{}, fmt.Errorf("get %q: %w", key, ErrNotFound)
+	}
+	return e, nil
+}
+
+// Swap implements Store. A lost answer is settled by repeating the same write:
+// the service either applies it now or shows whose write the key holds.
+func (c *Client) Swap(ctx context.Context, w Write) (Entry, error) {
+	if w.ID == "" {
+		w.ID = uuid.NewString()
+	}
+	sent := false
+	e, err := backoff.Retry(ctx, func() (Entry, error) {
+		e, err := c.swapOnce(ctx, w)
+		var conflict *ConflictError
+		switch {
+		case errors.As(err, &conflict) && conflict.Current.Write == w.ID:
+			return conflict.Current, nil
+		case errors.As(err, &conflict), errors.Is(err, ErrLeaseLapsed):
+			return Entry{}, backoff.Permanent(err)
+		case err != nil:
+			sent = true
+		}
+		return e, err
+	}, backoff.WithBackOff(retryPolicy()), backoff.WithMaxTries(c.cfg.Attempts))
+	if err == nil {
+		return e, nil
+	}
+	var conflict *ConflictError
+	if errors.As(err, &conflict) && !sent || errors.Is(err, ErrLeaseLapsed) {
+		return Entry{}, err
+	}
+	if errors.As(err, &conflict) {
+		return Entry{}, fmt.Errorf("swap %q: %w", w.Key, errors.Join(ErrUnsettled, err))
+	}
+	return Entry{}, fmt.Errorf("swap %q: %w: %w", w.Key, ErrUnsettled, err)
+}
+
+func (c *Client) swapOnce(ctx context.Context, w Write) (Entry, error) {
+	var e Entry
+	status, err := c.call(ctx, http.MethodPost, "/kv", w, &e)
+	if err != nil {
+		return Entry{}, err
+	}
+	switch status {
+	case http.StatusConflict:
+		return Entry{}, &ConflictError{Key: w.Key, Expect: w.Expect, Current: e}
+	case http.StatusGone:
+		return Entry{}, fmt.Errorf("swap %q: %w", w.Key, ErrLeaseLapsed)
+	}
+	return e, nil
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string) (Page, error) {
+	var p Page
+	_, err := c.call(ctx, http.MethodGet, "/list?prefix="+url.QueryEscape(prefix), nil, &p)
+	return p, err
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, prefix string, from uint64) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.WatchWait+watchSlack)
+	defer cancel()
+	q := fmt.Sprintf("/watch?prefix=%s&from=%d&wait=%s", url.QueryEscape(prefix), from, c.cfg.WatchWait)
+	var p Page
+	_, err := c.send(ctx, http.MethodGet, q, nil, &p)
+	return p, err
+}
+
+// Grant implements Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+	var l Lease
+	_, err := c.call(ctx, http.MethodPost, "/leases", Lease{TTL: ttl, ID: uuid.NewString()}, &l)
+	return l, err
+}
+
+// Renew implements Store.
+func (c *Client) Renew(ctx context.Context, id string) error {
+	status, err := c.call(ctx, http.MethodPost, "/leases/"+url.PathEscape(id)+"/renew", nil, nil)
+	if err != nil {
+		return err
+	}
+	if status == http.StatusNotFound {
+		return fmt.Errorf("renew %q: %w", id, ErrLeaseLapsed)
+	}
+	return nil
+}
+
+// Revoke implements Store.
+func (c *Client) Revoke(ctx context.Context, id string) error {
+	_, err := c.call(ctx, http.MethodDelete, "/leases/"+url.PathEscape(id), nil, nil)
+	return err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
+	defer cancel()
+	return c.send(ctx, method, path, in, out)
+}
+
+func (c *Client) send(ctx context.Context, method, path string, in, out any) (int, error) {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return 0, fmt.Errorf("encode %s %s: %w", method, path, err)
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.cfg.Address+path, body)
+	if err != nil {
+		return 0, fmt.Errorf("request %s %s: %w", method, path, err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	if err != nil {
+		return 0, fmt.Errorf("%w: read answer: %w", ErrUnavailable, err)
+	}
+	return res.StatusCode, decodeAnswer(res.StatusCode, b, out)
+}
+
+// decodeAnswer accepts the statuses that carry meaning for a caller and turns
+// every other one into ErrUnavailable.
+func decodeAnswer(status int, b []byte, out any) error {
+	switch status {
+	case http.StatusOK, http.StatusConflict:
+		if out == nil || len(b) == 0 {
+			return nil
+		}
+		if err := json.Unmarshal(b, out); err != nil {
+			return fmt.Errorf("%w: decode answer: %w", ErrUnavailable, err)
+		}
+		return nil
+	case http.StatusNotFound, http.StatusGone, http.StatusNoContent:
+		return nil
+	default:
+		return fmt.Errorf("%w: status %d: %s", ErrUnavailable, status, bytes.TrimSpace(b))
+	}
+}
+
+func retryPolicy() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = firstRetryDelay
+	b.MaxInterval = maxRetryDelay
+	return b
+}
--- /dev/null
+++ b/internal/standin/certifier/certifier.go
@@ -0,0 +1,97 @@
+// Package certifier makes key material for tests and trials: an authority and
+// certificates for daemons, as files in PEM form.
+package certifier
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+const validity = 24 * time.Hour
+
+// Authority issues certificates.
+type Authority struct {
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// Files are the paths of one daemon's key material.
+type Files struct {
+	Cert, Key, CA string
+}
+
+// New makes an authority that keeps its files in dir.
+func New(dir string) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, fmt.Errorf("make authority: %w", err)
+	}
+	tmpl := template("pomelotiller authority")
+	tmpl.IsCA = true
+	tmpl.BasicConstraintsValid = true
+	tmpl.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, key.Public(), key)
+	if err != nil {
+		return nil, fmt.Errorf("make authority: %w", err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, fmt.Errorf("make authority: %w", err)
+	}
+	a := &Authority{dir: dir, cert: cert, key: key}
+	return a, writePEM(a.path("ca.pem"), "CERTIFICATE", der)
+}
+
+func (a *Authority) path(name string) string { return filepath.Join(a.dir, name) }
+
+// Issue makes a certificate for a daemon.
+func (a *Authority) Issue(name string) (Files, error) {
+	f := Files{Cert: a.path(name + ".pem"), Key: a.path(name + ".key"), CA: a.path("ca.pem")}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return f, fmt.Errorf("issue certificate: %w", err)
+	}
+	tmpl := template(name)
+	tmpl.DNSNames = []string{"pomelotiller"}
+	tmpl.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, key.Public(), a.key)
+	if err != nil {
+		return f, fmt.Errorf("issue certificate: %w", err)
+	}
+	if err := writePEM(f.Cert, "CERTIFICATE", der); err != nil {
+		return f, err
+	}
+	b, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return f, fmt.Errorf("issue certificate: %w", err)
+	}
+	return f, writePEM(f.Key, "PRIVATE KEY", b)
+}
+
+func template(name string) *x509.Certificate {
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(now.UnixNano()),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-time.Hour),
+		NotAfter:     now.Add(validity),
+	}
+}
+
+func writePEM(path, kind string, der []byte) error {
+	b := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		return fmt.Errorf("write key material: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/generator/handler.go
@@ -0,0 +1,166 @@
+package generator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"pomelotiller/internal/platform/inferrer"
+)
+
+const slowFactor = 20
+
+// Handler serves the engine's protocol, and /leaving and /served for tests.
+func (g *Generator) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post(inferrer.PathChat, g.serveCompletion)
+	r.Post(inferrer.PathCompletion, g.serveCompletion)
+	r.Post("/requests/{id}/resume", g.serveCompletion)
+	r.Post("/requests/{id}/cancel", g.serveCancel)
+	r.Get("/load", func(w http.ResponseWriter, _ *http.Request) { reply(w, g.Load()) })
+	r.Get("/events", func(w http.ResponseWriter, _ *http.Request) { reply(w, []inferrer.Event{}) })
+	r.Post("/orders", g.serveOrder)
+	r.Put("/leaving", func(http.ResponseWriter, *http.Request) { g.SetLeaving(true) })
+	r.Get("/served", func(w http.ResponseWriter, _ *http.Request) { reply(w, g.Served()) })
+	return r
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the caller is gone; there is nobody to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (g *Generator) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o inferrer.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := g.order(o); errors.Is(err, inferrer.ErrFenced) {
+		http.Error(w, err.Error(), http.StatusPreconditionFailed)
+	}
+}
+
+func (g *Generator) serveCancel(w http.ResponseWriter, r *http.Request) {
+	g.mu.Lock()
+	cancel := g.running[chi.URLParam(r, "id")]
+	g.mu.Unlock()
+	if cancel == nil {
+		http.Error(w, "no such request", http.StatusNotFound)
+		return
+	}
+	cancel()
+}
+
+func (g *Generator) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	var p inferrer.Prompt
+	if err := json.NewDecoder(r.Body).Decode(&p); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	if err != nil && r.URL.Query().Has("from") {
+		http.Error(w, "from: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	id := r.Header.Get(inferrer.HeaderRequest)
+	if status := g.begin(id, p.Model, cancel); status != http.StatusOK {
+		http.Error(w, http.StatusText(status), status)
+		return
+	}
+	defer g.end(id)
+	w.Header().Set(inferrer.HeaderRequest, id)
+	w.Header().Set(inferrer.HeaderAttempt, r.Header.Get(inferrer.HeaderAttempt))
+	w.Header().Set("Content-Type", "text/event-stream")
+	g.stream(ctx, w, id, p, from)
+}
+
+// begin registers a request, or returns the status that refuses it.
+func (g *Generator) begin(id, version string, cancel func()) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.leaving:
+		return http.StatusServiceUnavailable
+	case !g.versions[version]:
+		return http.StatusNotFound
+	}
+	g.served[version]++
+	if g.cfg.Faulty[version] == FaultErrors {
+		return http.StatusInternalServerError
+	}
+	g.running[id] = cancel
+	return http.StatusOK
+}
+
+func (g *Generator) end(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.running, id)
+}
+
+func (g *Generator) stream(ctx context.Context, w http.ResponseWriter, id string, p inferrer.Prompt, from int) {
+	n := p.MaxTokens
+	if n == 0 {
+		n = g.cfg.MaxTokens
+	}
+	wait, tokenTime := g.cfg.FirstToken, g.cfg.TokenTime
+	switch g.cfg.Faulty[p.Model] {
+	case FaultSlow:
+		wait, tokenTime = wait*slowFactor, tokenTime*slowFactor
+	case FaultShort:
+		n /= 2
+	}
+	out := http.NewResponseController(w)
+	prompt := p.Text()
+	for i := from; i < n; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+		wait = tokenTime
+		if err := writeChunk(w, chunk(id, p, prompt, i, i == n-1)); err != nil {
+			return
+		}
+		if err := out.Flush(); err != nil {
+			return
+		}
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func chunk(id string, p inferrer.Prompt, prompt string, n int, last bool) inferrer.Chunk {
+	c := inferrer.Choice{}
+	if p.Prompt != "" {
+		c.Text = Token(p.Model, prompt, n)
+	} else {
+		c.Delta = &inferrer.Message{Role: "assistant", Content: Token(p.Model, prompt, n)}
+	}
+	if last {
+		reason := "stop"
+		c.FinishReason = &reason
+	}
+	return inferrer.Chunk{
+		ID: id, Object: "chat.completion.chunk", Created: time.Now().Unix(),
+		Model: p.Model, Token: n, Choices: []inferrer.Choice{c},
+	}
+}
+
+func writeChunk(w http.ResponseWriter, c inferrer.Chunk) error {
+	b, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "data: %s\n\n", b)
+	return err
+}
--- /dev/null
+++ b/internal/traffic/listener/listener.go
@@ -0,0 +1,152 @@
+// Package listener serves callers over HTTP: completions in the OpenAI shape,
+// plain services, and the orders that were recorded for them.
+package listener
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"pomelotiller/internal/fleet/viewer"
+	"pomelotiller/internal/observe/meter"
+	"pomelotiller/internal/observe/tracer"
+	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/traffic/admitter"
+	"pomelotiller/internal/traffic/recorder"
+	"pomelotiller/internal/traffic/refuser"
+	"pomelotiller/internal/traffic/relayer"
+)
+
+const (
+	maxBodyBytes  = 4 << 20
+	maxOrderBytes = 256 << 10
+	storeRetry    = 5 * time.Second
+	headerTimeout = 10 * time.Second
+)
+
+// Config configures a Listener.
+type Config struct {
+	// View returns the current view.
+	View func() viewer.View
+	// Admitter lets requests in.
+	Admitter *admitter.Admitter
+	// Relayer carries completions.
+	Relayer *relayer.Relayer
+	// Recorder keeps orders, and Runner takes them to their end.
+	Recorder *recorder.Recorder
+	Runner   *recorder.Runner
+	// Tracer starts a span for each request.
+	Tracer tracer.Tracer
+	// Registry receives counters.
+	Registry metrics.Registry
+}
+
+// Listener serves callers.
+type Listener struct {
+	cfg      Config
+	draining atomic.Bool
+	active   atomic.Int64
+}
+
+// New returns a listener.
+func New(cfg Config) *Listener { return &Listener{cfg: cfg} }
+
+// Handler returns the handler of all paths for callers.
+func (l *Listener) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	r.Get("/readyz", l.serveReady)
+	r.Group(func(r chi.Router) {
+		r.Use(l.observe)
+		r.Post(inferrer.PathChat, l.serveCompletion)
+		r.Post(inferrer.PathCompletion, l.serveCompletion)
+		r.HandleFunc("/services/{route}", l.serveService)
+		r.HandleFunc("/services/{route}/*", l.serveService)
+		r.Get("/v1/orders/{id}", l.serveOrder)
+	})
+	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		refuser.Write(w, &refuser.Refusal{
+			Status: http.StatusNotFound, Title: "unknown-path",
+			Detail: fmt.Sprintf("%s is not served; want /v1/chat/completions, /v1/completions, /services/ROUTE/PATH or /v1/orders/ID", r.URL.Path),
+		})
+	})
+	return r
+}
+
+// Serve serves callers on ln until ctx ends. It then goes on for the time of
+// drain, not ready any more, and returns when the last request is answered.
+func (l *Listener) Serve(ctx context.Context, ln net.Listener, drain time.Duration) error {
+	srv := &http.Server{Handler: l.Handler(), ReadHeaderTimeout: headerTimeout}
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(ln) }()
+	select {
+	case err := <-done:
+		return fmt.Errorf("serve callers: %w", err)
+	case <-ctx.Done():
+	}
+	l.Drain()
+	time.Sleep(drain)
+	if err := srv.Shutdown(context.WithoutCancel(ctx)); err != nil {
+		return fmt.Errorf("stop serving callers: %w", err)
+	}
+	if err := <-done; !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	return nil
+}
+
+// Drain makes the daemon report that it is not ready; requests that still come
+// are served.
+func (l *Listener) Drain() { l.draining.Store(true) }
+
+// Active returns the number of requests being served.
+func (l *Listener) Active() int { return int(l.active.Load()) }
+
+func (l *Listener) serveReady(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case l.draining.Load():
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+	case l.cfg.View().Generation == 0:
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	default:
+		fmt.Fprintln(w, "ready")
+	}
+}
+
+// statusWriter remembers the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap lets http.ResponseController reach the writer below.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// observe counts and traces a request.
+func (l *Listener) observe(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l.active.Add(1)
+		defer l.active.Add(-1)
+		ctx := l.cfg.Tracer.Propagation.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, span := l.cfg.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
+		defer span.End()
+		sw := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		next.ServeHTTP(sw, r.WithContext(ctx))
+		meter.Count(l.cfg.Registry, 1, "requests_total", "status", fmt.Sprint(sw.status))
+	})
+}
