Bound the cost of gossip and judge members by refutable suspicion

Cause: each round sent all that a daemon knew, so that a daemon's bytes grew with the fleet; items of dead daemons and gone members stayed for ever; a gone state was kept to one daemon's own view of heartbeat age.

Heartbeats go to at most six neighbours, changes ride on them within a budget, exchanges over a stream repair what is lost. Tried first: sending each change in a fixed number of rounds; the join of 81 daemons then kept the budget full for a minute, so a change heard again now counts as sent.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -120,7 +120,7 @@
 	}
 	d.release.Store(&publisher.Release{})
 	d.gossiper = gossiper.New(gossiper.Config{
-		Self: self, Sender: d.messenger, Seeds: func() []string { return s.Seeds },
+		Self: self, Sender: d.messenger, Caller: d.messenger, Seeds: func() []string { return s.Seeds },
 		Changed: d.membersChanged, Logger: d.logger, Registry: d.registry,
 	})
 	d.control = controller.New(controller.Config{
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -1,20 +1,20 @@
-// Package gossiper spreads membership and small items between daemons. Each
-// round a daemon sends what it knows to a fixed number of others, so that its
-// cost does not grow with the number of calls that others make.
+// Package gossiper spreads membership and small items between daemons.
+//
+// Each daemon sends its heartbeat to a bounded set of neighbours and lets the
+// newest changes ride on it, within a budget of bytes a second. A neighbour that
+// hears no more heartbeats suspects the sender; the suspicion spreads like every
+// change, and the suspected daemon refutes it with a higher incarnation. What
+// is lost on the way is repaired by periodic exchanges with one neighbour.
 package gossiper
 
 import (
-	"bytes"
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
 	"pomelotiller/internal/fleet/messenger"
@@ -22,336 +22,270 @@
 )
 
 const (
-	datagramKind   = "gossip"
-	defaultPeriod  = 200 * time.Millisecond
-	defaultFanout  = 3
-	suspectPeriods = 8
-	gonePeriods    = 25
+	datagramKind = "gossip"
+	// minGap is the shortest time between two rounds, also for new changes.
+	minGap = 40 * time.Millisecond
+
+	defaultPeriod       = 250 * time.Millisecond
+	defaultFanout       = 6
+	defaultSuspectAfter = 2 * time.Second
+	defaultGoneAfter    = 3 * time.Second
+	defaultForgetAfter  = time.Hour
+	defaultBytesRate    = 4096
 )
 
-// Sender is the part of a messenger that gossip needs.
+// Sender is the part of a messenger that carries datagrams.
 type Sender interface {
 	Send(ctx context.Context, addr, kind string, body []byte) error
 	HandleDatagram(kind string, f func(body []byte))
 }
 
-var _ Sender = (*messenger.Messenger)(nil)
-
-// Item is a small fact that spreads to all daemons. Of two items with the same
-// topic and key the one with the higher version wins; equal versions never
-// differ in value, so that their order of arrival does not matter.
-type Item struct {
-	Topic   string `cbor:"1,keyasint"`
-	Key     string `cbor:"2,keyasint"`
-	Version uint64 `cbor:"3,keyasint"`
-	Value   []byte `cbor:"4,keyasint,omitempty"`
+// Caller is the part of a messenger that carries exchanges.
+type Caller interface {
+	Call(ctx context.Context, addr, kind string, body []byte) ([]byte, error)
+	Handle(kind string, h messenger.Handler)
 }
 
+var (
+	_ Sender = (*messenger.Messenger)(nil)
+	_ Caller = (*messenger.Messenger)(nil)
+)
+
 // Config configures a Gossiper.
 type Config struct {
 	// Self is the daemon's own entry.
 	Self viewer.Member
 	// Sender carries the datagrams.
 	Sender Sender
-	// Seeds returns peer addresses to start from.
+	// Caller carries exchanges; without one, a lost change is not repaired.
+	Caller Caller
+	// Seeds returns peer addresses to start from, and to find daemons again
+	// from which this one was cut off.
 	Seeds func() []string
 	// Changed is called after members or items have changed, without a lock.
+	// Changes in quick succession lead to one call.
 	Changed func()
-	// Period is the time between rounds.
+	// Period is the time between heartbeats.
 	Period time.Duration
-	// Fanout is the number of peers that each round sends to.
+	// Fanout is the number of neighbours that each heartbeat goes to.
 	Fanout int
+	// SuspectAfter is the silence after which a neighbour is suspected.
+	SuspectAfter time.Duration
+	// GoneAfter is how long a suspected member has time to refute.
+	GoneAfter time.Duration
+	// ForgetAfter is how long a gone member, and the items that it published,
+	// are kept.
+	ForgetAfter time.Duration
+	// BytesRate bounds the bytes of changes sent a second.
+	BytesRate int
 	// Logger receives changes of members' states.
 	Logger log.Logger
 	// Registry receives counters.
 	Registry metrics.Registry
 }
 
-// member is what a daemon knows of another.
-type member struct {
-	viewer.Member
-	Beat uint64 `cbor:"8,keyasint"`
-	seen time.Time
+func (cfg Config) withDefaults() Config {
+	setDefault(&cfg.Period, defaultPeriod)
+	setDefault(&cfg.Fanout, defaultFanout)
+	setDefault(&cfg.SuspectAfter, defaultSuspectAfter)
+	setDefault(&cfg.GoneAfter, defaultGoneAfter)
+	setDefault(&cfg.ForgetAfter, defaultForgetAfter)
+	setDefault(&cfg.BytesRate, defaultBytesRate)
+	if cfg.Logger == nil {
+		cfg.Logger = log.NewNopLogger()
+	}
+	if cfg.Registry == nil {
+		cfg.Registry = metrics.NewRegistry()
+	}
+	return cfg
 }
 
-// packet is the body of one datagram.
-type packet struct {
-	Members []member `cbor:"1,keyasint,omitempty"`
-	Items   []Item   `cbor:"2,keyasint,omitempty"`
+func setDefault[T comparable](v *T, value T) {
+	var zero T
+	if *v == zero {
+		*v = value
+	}
 }
 
-type itemKey struct{ topic, key string }
-
 // Gossiper is a daemon's part in gossip. All methods are safe for concurrent
 // use.
 type Gossiper struct {
-	cfg     Config
-	mu      sync.Mutex
-	self    member
-	members map[string]*member
-	items   map[itemKey]Item
-	subs    map[string][]func(Item)
-	next    int
+	cfg  Config
+	wake chan struct{}
+
+	mu         sync.Mutex
+	rand       *rand.Rand
+	self       record
+	members    map[string]*member
+	items      map[itemKey]*item
+	subs       map[string][]func(Item)
+	rumors     rumors
+	neighbours neighbours
+	changed    bool
+	tokens     float64
+	started    time.Time
+	lastRound  time.Time
+	refreshed  time.Time
+	exchanged  time.Time
+	contacted  time.Time
+	exchanging bool
+	sending    map[string]bool
 }
 
 // New returns a gossiper that sends nothing before Run.
 func New(cfg Config) *Gossiper {
-	if cfg.Period == 0 {
-		cfg.Period = defaultPeriod
-	}
-	if cfg.Fanout == 0 {
-		cfg.Fanout = defaultFanout
-	}
-	if cfg.Logger == nil {
-		cfg.Logger = log.NewNopLogger()
-	}
-	if cfg.Registry == nil {
-		cfg.Registry = metrics.NewRegistry()
-	}
+	cfg = cfg.withDefaults()
 	cfg.Self.State = viewer.StateAlive
-	return &Gossiper{
-		cfg: cfg, self: member{Member: cfg.Self}, members: make(map[string]*member),
-		items: make(map[itemKey]Item), subs: make(map[string][]func(Item)),
+	now := time.Now()
+	g := &Gossiper{
+		cfg: cfg, wake: make(chan struct{}, 1),
+		rand: rand.New(rand.NewPCG(xxhash.Sum64String(cfg.Self.Name), cfg.Self.Incarnation)),
+		self: newRecord(cfg.Self), members: make(map[string]*member),
+		items: make(map[itemKey]*item), subs: make(map[string][]func(Item)),
+		rumors: newRumors(), sending: make(map[string]bool),
+		started: now, lastRound: now, refreshed: now, exchanged: now,
 	}
+	g.rumors.add(rumorKey{member: cfg.Self.Name})
+	return g
 }
 
 // Run gossips until ctx ends.
 func (g *Gossiper) Run(ctx context.Context) error {
-	g.cfg.Sender.HandleDatagram(datagramKind, g.receive)
-	tick := time.NewTicker(g.cfg.Period)
-	defer tick.Stop()
+	g.cfg.Sender.HandleDatagram(datagramKind, func(body []byte) { g.receive(ctx, body) })
+	if g.cfg.Caller != nil {
+		g.cfg.Caller.Handle(exchangeKind, g.answerExchange)
+		g.cfg.Caller.Handle(offerKind, g.answerOffer)
+	}
+	timer := time.NewTimer(minGap)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-tick.C:
-			g.round(ctx)
+		case <-timer.C:
+		case <-g.wake:
+			sleep(ctx, minGap-time.Since(g.lastRound))
 		}
+		g.round(ctx)
+		timer.Reset(g.cfg.Period)
 	}
 }
 
-// Subscribe calls f for each new item of a topic, without a lock held.
-func (g *Gossiper) Subscribe(topic string, f func(Item)) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.subs[topic] = append(g.subs[topic], f)
-}
-
-// Publish spreads an item, unless a newer one is known.
-func (g *Gossiper) Publish(i Item) {
-	g.mu.Lock()
-	subs := g.merge(i)
-	g.mu.Unlock()
-	for _, f := range subs {
-		f(i)
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
 	}
-}
-
-// Items returns the known items of a topic, sorted by key.
-func (g *Gossiper) Items(topic string) []Item {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var items []Item
-	for k, i := range g.items {
-		if k.topic == topic {
-			items = append(items, i)
-		}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
-	slices.SortFunc(items, func(a, b Item) int { return cmp.Compare(a.Key, b.Key) })
-	return items
 }
 
 // SetGeneration announces the configuration in force at this daemon.
-func (g *Gossiper) SetGeneration(n uint64) {
+func (g *Gossiper) SetGeneration(n uint64) { g.SetRelease(n, 0) }
+
+// SetRelease announces the configuration in force at this daemon, with a digest
+// that differs between releases of the same generation.
+func (g *Gossiper) SetRelease(generation, digest uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.self.Generation = n
+	g.self.Generation, g.self.Digest = generation, digest
+	g.announce()
 }
 
-// SetState announces that this daemon is leaving.
+// SetState announces that this daemon is leaving, or that it is gone.
 func (g *Gossiper) SetState(s viewer.State) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.self.State = s
+	g.self.State = rankOf(s)
+	g.announce()
 }
 
-// Members returns all known members, this daemon among them, sorted by name.
-func (g *Gossiper) Members() []viewer.Member {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	out := []viewer.Member{g.self.Member}
-	for _, m := range g.members {
-		out = append(out, m.Member)
+// announce spreads a change of this daemon's own record. The caller holds the
+// lock.
+func (g *Gossiper) announce() {
+	g.self.Beat++
+	g.refreshed = time.Now()
+	g.note(rumorKey{member: g.self.Name})
+}
+
+// note spreads a change and has it told by Changed. The caller holds the lock.
+func (g *Gossiper) note(k rumorKey) {
+	g.rumors.add(k)
+	g.changed = true
+	select {
+	case g.wake <- struct{}{}:
+	default:
 	}
-	slices.SortFunc(out, func(a, b viewer.Member) int { return cmp.Compare(a.Name, b.Name) })
-	return out
 }
 
+// round sends one heartbeat with the newest changes to each neighbour.
 func (g *Gossiper) round(ctx context.Context) {
 	g.mu.Lock()
-	g.self.Beat++
-	changed := g.age(time.Now())
-	targets := g.targets()
-	packets := g.packets()
+	now := time.Now()
+	g.forgive(now)
+	g.age(now)
+	g.refresh(now)
+	targets, others := g.chooseTargets(now)
+	body := g.pack(now, len(targets))
+	header := g.packHeader(flagOnce)
+	partner := g.choosePartner(now)
+	changed := g.changed
+	g.changed = false
+	g.lastRound = now
 	g.mu.Unlock()
 	if changed && g.cfg.Changed != nil {
 		g.cfg.Changed()
 	}
 	for _, addr := range targets {
-		go g.send(ctx, addr, packets)
+		g.send(ctx, addr, body)
 	}
-}
-
-func (g *Gossiper) send(ctx context.Context, addr string, packets [][]byte) {
-	for _, b := range packets {
-		if err := g.cfg.Sender.Send(ctx, addr, datagramKind, b); err != nil {
-			metrics.GetOrRegisterCounter("gossip_send_failures_total", g.cfg.Registry).Inc(1)
-			return
-		}
-		metrics.GetOrRegisterCounter("gossip_sent_bytes_total", g.cfg.Registry).Inc(int64(len(b)))
+	for _, addr := range others {
+		g.send(ctx, addr, header)
 	}
-}
-
-// age moves members that have not been heard of to suspected and gone.
-func (g *Gossiper) age(now time.Time) bool {
-	changed := false
-	for _, m := range g.members {
-		silent := now.Sub(m.seen)
-		next := m.State
-		switch {
-		case silent > gonePeriods*g.cfg.Period:
-			next = viewer.StateGone
-		case silent > suspectPeriods*g.cfg.Period && m.State == viewer.StateAlive:
-			next = viewer.StateSuspected
-		}
-		if next != m.State {
-			g.logState(m, next)
-			m.State = next
-			changed = true
-		}
+	if partner != "" {
+		go g.exchange(ctx, partner)
 	}
-	return changed
 }
 
-func (g *Gossiper) logState(m *member, next viewer.State) {
-	// A logger that fails has nowhere to say so.
-	_ = level.Info(g.cfg.Logger).Log("msg", "member changed", "member", m.Name, "from", m.State, "to", next)
-}
-
-func (g *Gossiper) targets() []string {
-	var addrs []string
-	for _, m := range g.members {
-		if m.State != viewer.StateGone {
-			addrs = append(addrs, m.Peers)
-		}
-	}
-	if g.cfg.Seeds != nil {
-		for _, s := range g.cfg.Seeds() {
-			if s != g.self.Peers && !slices.Contains(addrs, s) {
-				addrs = append(addrs, s)
-			}
-		}
+// forgive keeps a daemon that was paused from suspecting everyone: the time
+// for which it did not run does not count as silence of others.
+func (g *Gossiper) forgive(now time.Time) {
+	paused := now.Sub(g.lastRound) - g.cfg.Period
+	if paused < g.cfg.Period {
+		return
 	}
-	slices.Sort(addrs)
-	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	return addrs[:min(len(addrs), g.cfg.Fanout)]
-}
-
-// packets encodes what is known into bodies that fit a datagram each.
-func (g *Gossiper) packets() [][]byte {
-	all := []packet{{Members: []member{g.self}}}
 	for _, m := range g.members {
-		if m.State != viewer.StateGone {
-			all = append(all, packet{Members: []member{*m}})
-		}
-	}
-	for _, i := range g.items {
-		all = append(all, packet{Items: []Item{i}})
-	}
-	var out [][]byte
-	var p packet
-	var body []byte
-	for _, one := range all {
-		grown := packet{Members: append(slices.Clone(p.Members), one.Members...), Items: append(slices.Clone(p.Items), one.Items...)}
-		b, err := cbor.Marshal(grown)
-		if err != nil {
-			continue
-		}
-		if len(b) > messenger.MaxDatagramBytes-64 && body != nil {
-			out = append(out, body)
-			grown = one
-			if b, err = cbor.Marshal(one); err != nil {
-				continue
-			}
-		}
-		p, body = grown, b
+		m.heard, m.since, m.advanced = m.heard.Add(paused), m.since.Add(paused), m.advanced.Add(paused)
 	}
-	return append(out, body)
 }
 
-func (g *Gossiper) receive(body []byte) {
-	var p packet
-	if err := cbor.Unmarshal(body, &p); err != nil {
-		metrics.GetOrRegisterCounter("gossip_malformed_total", g.cfg.Registry).Inc(1)
-		return
-	}
-	type call struct {
-		f func(Item)
-		i Item
-	}
-	var calls []call
+// send passes a datagram on without waiting. A target to which an earlier one
+// is still under way, because its handshake is not done, gets none.
+func (g *Gossiper) send(ctx context.Context, addr string, body []byte) {
 	g.mu.Lock()
-	changed := false
-	for _, m := range p.Members {
-		changed = g.mergeMember(m) || changed
-	}
-	for _, i := range p.Items {
-		for _, f := range g.merge(i) {
-			calls = append(calls, call{f, i})
-		}
-	}
+	busy := g.sending[addr]
+	g.sending[addr] = true
 	g.mu.Unlock()
-	for _, c := range calls {
-		c.f(c.i)
-	}
-	if changed && g.cfg.Changed != nil {
-		g.cfg.Changed()
-	}
-}
-
-func (g *Gossiper) mergeMember(m member) bool {
-	if m.Name == g.self.Name {
-		return false
-	}
-	old := g.members[m.Name]
-	if old != nil && (m.Incarnation < old.Incarnation || m.Incarnation == old.Incarnation && m.Beat <= old.Beat) {
-		return false
-	}
-	if m.State == viewer.StateSuspected {
-		m.State = viewer.StateAlive
+	if busy {
+		return
 	}
-	m.seen = time.Now()
-	g.members[m.Name] = &m
-	if old == nil || old.State != m.State || old.Generation != m.Generation || old.Incarnation != m.Incarnation {
-		if old == nil || old.State != m.State {
-			from := viewer.State("unknown")
-			if old != nil {
-				from = old.State
-			}
-			g.logState(&member{Member: viewer.Member{Name: m.Name, State: from}}, m.State)
+	go func() {
+		err := g.cfg.Sender.Send(ctx, addr, datagramKind, body)
+		g.mu.Lock()
+		delete(g.sending, addr)
+		g.mu.Unlock()
+		if err != nil {
+			g.count("gossip_send_failures_total", 1)
+			return
 		}
-		return true
-	}
-	return false
+		g.count("gossip_sent_datagrams_total", 1)
+		g.count("gossip_sent_bytes_total", len(body))
+	}()
 }
 
-// merge takes in an item and returns the subscribers to tell.
-func (g *Gossiper) merge(i Item) []func(Item) {
-	k := itemKey{i.Topic, i.Key}
-	old, ok := g.items[k]
-	if ok && (i.Version < old.Version || i.Version == old.Version && bytes.Compare(i.Value, old.Value) <= 0) {
-		return nil
-	}
-	g.items[k] = i
-	return g.subs[i.Topic]
+func (g *Gossiper) count(name string, n int) {
+	metrics.GetOrRegisterCounter(name, g.cfg.Registry).Inc(int64(n))
 }
--- /dev/null
+++ b/internal/fleet/gossiper/neighbor.go
@@ -0,0 +1,150 @@
+package gossiper
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// localNeighbours and remoteNeighbours are the numbers of neighbours in the
+	// own and in other failure domains; the rest of the fan-out is random.
+	localNeighbours  = 3
+	remoteNeighbours = 2
+	// rotation is how long a random neighbour stays one.
+	rotation = time.Minute
+	// contactPeriod is the time between attempts to reach an address at which
+	// no live member is known.
+	contactPeriod = time.Second
+	// joinContacts is the number of seeds tried at once by a daemon that knows
+	// nobody.
+	joinContacts = 3
+)
+
+// neighbours are the members to which heartbeats go.
+type neighbours struct {
+	addresses []string
+	// dropped are former neighbours that are still to be told so.
+	dropped map[string]int
+}
+
+// farewells is the number of times that a former neighbour is told.
+const farewells = 2
+
+// chooseTargets returns the addresses for this round's heartbeat, and those of
+// others that only hear of this daemon: former neighbours and contacts. The
+// caller holds the lock.
+func (g *Gossiper) chooseTargets(now time.Time) (targets, others []string) {
+	next := g.chooseNeighbours(now)
+	n := &g.neighbours
+	if n.dropped == nil {
+		n.dropped = make(map[string]int)
+	}
+	for _, a := range n.addresses {
+		if !slices.Contains(next, a) {
+			n.dropped[a] = farewells
+		}
+	}
+	for a, left := range n.dropped {
+		if left == 0 || slices.Contains(next, a) {
+			delete(n.dropped, a)
+			continue
+		}
+		n.dropped[a]--
+		others = append(others, a)
+	}
+	n.addresses = next
+	return next, append(others, g.chooseContacts(now)...)
+}
+
+// chooseNeighbours ranks the members by rendezvous hashing, so that the choice
+// changes little when members come and go: some of the own failure domain, some
+// of others, and some that change from time to time.
+func (g *Gossiper) chooseNeighbours(now time.Time) []string {
+	var present []*member
+	for _, m := range g.members {
+		if m.present() {
+			present = append(present, m)
+		}
+	}
+	epoch := strconv.FormatInt(now.UnixNano()/int64(rotation), 10)
+	slices.SortFunc(present, func(a, b *member) int { return cmp.Compare(g.score("", a), g.score("", b)) })
+	var out []string
+	seen := map[string]bool{g.self.Domain: true}
+	local, remote := 0, 0
+	for _, m := range present {
+		switch {
+		case m.Domain == g.self.Domain && local < localNeighbours:
+			local++
+		case !seen[m.Domain] && remote < remoteNeighbours:
+			seen[m.Domain] = true
+			remote++
+		default:
+			continue
+		}
+		out = append(out, m.Peers)
+	}
+	slices.SortFunc(present, func(a, b *member) int { return cmp.Compare(g.score(epoch, a), g.score(epoch, b)) })
+	for _, m := range present {
+		if len(out) < g.cfg.Fanout && !slices.Contains(out, m.Peers) {
+			out = append(out, m.Peers)
+		}
+	}
+	return out[:min(len(out), g.cfg.Fanout)]
+}
+
+func (g *Gossiper) score(salt string, m *member) uint64 {
+	return xxhash.Sum64String(g.self.Name + "\x00" + salt + "\x00" + m.Name)
+}
+
+// chooseContacts returns addresses at which no live member is known: seeds, and
+// members held for gone, from which this daemon may just have been cut off.
+func (g *Gossiper) chooseContacts(now time.Time) []string {
+	if len(g.neighbours.addresses) > 0 && now.Sub(g.contacted) < contactPeriod {
+		return nil
+	}
+	g.contacted = now
+	live := map[string]bool{g.self.Peers: true}
+	var unknown []string
+	for _, m := range g.members {
+		if m.State != rankGone {
+			live[m.Peers] = true
+		}
+	}
+	for _, m := range g.members {
+		if m.State == rankGone && !live[m.Peers] {
+			unknown = append(unknown, m.Peers)
+		}
+	}
+	if g.cfg.Seeds != nil {
+		for _, a := range g.cfg.Seeds() {
+			if !live[a] {
+				unknown = append(unknown, a)
+			}
+		}
+	}
+	slices.Sort(unknown)
+	unknown = slices.Compact(unknown)
+	g.rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
+	n := 1
+	if len(g.neighbours.addresses) == 0 {
+		n = joinContacts
+	}
+	return unknown[:min(len(unknown), n)]
+}
+
+// Near returns the names of the members whose heartbeats come here.
+func (g *Gossiper) Near() map[string]bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	near := make(map[string]bool)
+	for name, m := range g.members {
+		if m.direct && m.State == rankAlive {
+			near[name] = true
+		}
+	}
+	return near
+}
--- a/internal/fleet/viewer/viewer.go
+++ b/internal/fleet/viewer/viewer.go
@@ -33,6 +33,8 @@
 	Incarnation uint64 `json:"incarnation" cbor:"6,keyasint"`
 	// Generation is the configuration in force at the member.
 	Generation uint64 `json:"generation" cbor:"7,keyasint"`
+	// Digest tells releases of the same generation apart.
+	Digest uint64 `json:"digest,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // Endpoint is one model engine or plain service.
