Reload key material, refuse strangers by name and share handshakes

Cause: key material was read once; any certificate of the authority was let in, whatever it was issued for; an oversize or malformed message was dropped without an answer; calls at once each made a connection that lived for ever.

Before (new tests on the old messenger): TestStrangers let a certificate for web.example in (2 messages at the handlers), TestReload never took up the new files, 20 calls at once made 20 connections, oversize gave a bare EOF. Strangers of another authority, expired ones and ones without a certificate were refused already. After: all pass, with -race.

Connections end after 6 s without traffic in place of being kept alive, so that a daemon holds only those to its neighbours.

--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -5,46 +5,25 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"fmt"
-	"io"
 	"net"
-	"os"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/singleflight"
 )
 
 const (
-	protocolVersion  = 1
-	protocolName     = "pomelotiller/1"
-	serverName       = "pomelotiller"
-	maxMessageBytes  = 2 << 20
 	handshakeTimeout = 2 * time.Second
-	idleTimeout      = 10 * time.Second
-	keepAlivePeriod  = 3 * time.Second
-	// MaxDatagramBytes is the largest body that fits a datagram on any path.
-	MaxDatagramBytes = 1100
+	// idleTimeout ends connections that are no longer used, so that a daemon
+	// keeps only those to its neighbours. It also bounds how long datagrams go
+	// into a connection that is silent for good.
+	idleTimeout = 6 * time.Second
 )
 
-// Errors of calls.
-var (
-	ErrVersion = errors.New("protocol version is not supported")
-	ErrUnknown = errors.New("kind of message is not known")
-)
-
-// envelope is the form of each message on the wire.
-type envelope struct {
-	Version int    `cbor:"1,keyasint"`
-	Kind    string `cbor:"2,keyasint,omitempty"`
-	Body    []byte `cbor:"3,keyasint,omitempty"`
-	Error   string `cbor:"4,keyasint,omitempty"`
-}
-
 // Handler answers calls of one kind.
 type Handler func(ctx context.Context, body []byte) ([]byte, error)
 
@@ -54,6 +33,8 @@
 	Listen string
 	// Cert, Key and CA name files in PEM form.
 	Cert, Key, CA string
+	// Failed is called with an error of reading the files anew; may be nil.
+	Failed func(error)
 }
 
 // Messenger sends and receives messages. All methods are safe for concurrent
@@ -61,16 +42,19 @@
 type Messenger struct {
 	transport *quic.Transport
 	listener  *quic.Listener
-	tls       *tls.Config
+	material  *material
+	failed    func(error)
+	dials     singleflight.Group
 	mu        sync.Mutex
 	conns     map[string]*quic.Conn
+	inbound   map[*quic.Conn]struct{}
 	handlers  map[string]Handler
 	datagrams map[string]func(body []byte)
 }
 
 // New listens on cfg.Listen. Nothing is served before Run.
 func New(cfg Config) (*Messenger, error) {
-	t, err := tlsConfig(cfg)
+	mat, err := newMaterial(cfg)
 	if err != nil {
 		return nil, err
 	}
@@ -83,12 +67,13 @@
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	tr := &quic.Transport{Conn: pc}
-	ln, err := tr.Listen(t, quicConfig())
+	ln, err := tr.Listen(mat.server(), quicConfig())
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	return &Messenger{
-		transport: tr, listener: ln, tls: t, conns: make(map[string]*quic.Conn),
+		transport: tr, listener: ln, material: mat, failed: cfg.Failed,
+		conns: make(map[string]*quic.Conn), inbound: make(map[*quic.Conn]struct{}),
 		handlers: make(map[string]Handler), datagrams: make(map[string]func([]byte)),
 	}, nil
 }
@@ -96,28 +81,8 @@
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: handshakeTimeout, MaxIdleTimeout: idleTimeout,
-		KeepAlivePeriod: keepAlivePeriod, EnableDatagrams: true,
-	}
-}
-
-func tlsConfig(cfg Config) (*tls.Config, error) {
-	cert, err := tls.LoadX509KeyPair(cfg.Cert, cfg.Key)
-	if err != nil {
-		return nil, fmt.Errorf("load key material: %w", err)
+		EnableDatagrams: true,
 	}
-	pem, err := os.ReadFile(cfg.CA)
-	if err != nil {
-		return nil, fmt.Errorf("load key material: %w", err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, fmt.Errorf("load key material: %s holds no certificate", cfg.CA)
-	}
-	return &tls.Config{
-		Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool,
-		ClientAuth: tls.RequireAndVerifyClientCert, ServerName: serverName,
-		NextProtos: []string{protocolName}, MinVersion: tls.VersionTLS13,
-	}, nil
 }
 
 // Address returns the address that the messenger listens on.
@@ -141,6 +106,7 @@
 func (m *Messenger) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { m.listener.Close() })
 	defer stop()
+	go m.follow(ctx)
 	for {
 		conn, err := m.listener.Accept(ctx)
 		if err != nil {
@@ -150,6 +116,46 @@
 	}
 }
 
+// follow takes in changes of the key material until ctx ends.
+func (m *Messenger) follow(ctx context.Context) {
+	tick := time.NewTicker(reloadPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		changed, err := m.material.reload()
+		if err != nil && m.failed != nil {
+			m.failed(err)
+		}
+		if changed {
+			m.dropStrangers()
+		}
+	}
+}
+
+// dropStrangers closes the connections of peers that the key material in force
+// no longer lets in.
+func (m *Messenger) dropStrangers() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for addr, c := range m.conns {
+		if !m.material.trusts(c.ConnectionState().TLS) {
+			delete(m.conns, addr)
+			// The peer learns of the end by its idle timeout if this is lost.
+			_ = c.CloseWithError(0, "certificate no longer valid")
+		}
+	}
+	for c := range m.inbound {
+		if !m.material.trusts(c.ConnectionState().TLS) {
+			// As above.
+			_ = c.CloseWithError(0, "certificate no longer valid")
+		}
+	}
+}
+
 func (m *Messenger) close(ctx context.Context, cause error) error {
 	m.mu.Lock()
 	for _, c := range m.conns {
@@ -170,6 +176,20 @@
 }
 
 func (m *Messenger) serve(ctx context.Context, conn *quic.Conn) {
+	m.mu.Lock()
+	m.inbound[conn] = struct{}{}
+	m.mu.Unlock()
+	defer func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.inbound, conn)
+	}()
+	if !m.material.trusts(conn.ConnectionState().TLS) {
+		// The key material changed during the handshake. The peer learns of
+		// the end by its idle timeout if this is lost.
+		_ = conn.CloseWithError(0, "certificate no longer valid")
+		return
+	}
 	go m.receiveDatagrams(ctx, conn)
 	for {
 		s, err := conn.AcceptStream(ctx)
@@ -201,39 +221,40 @@
 
 func (m *Messenger) answer(ctx context.Context, s *quic.Stream) {
 	defer s.Close()
+	out := m.handle(ctx, s)
+	err := writeEnvelope(s, out)
+	if errors.Is(err, ErrTooLarge) {
+		err = writeEnvelope(s, refusal(err))
+	}
+	if err != nil {
+		// The caller is gone, or times out.
+		s.CancelWrite(0)
+	}
+}
+
+// handle reads one message and returns its answer.
+func (m *Messenger) handle(ctx context.Context, s *quic.Stream) envelope {
 	var e envelope
 	if err := readEnvelope(s, &e); err != nil {
 		s.CancelRead(0)
-		return
+		return refusal(err)
 	}
 	m.mu.Lock()
 	h := m.handlers[e.Kind]
 	m.mu.Unlock()
-	out := envelope{Version: protocolVersion}
-	switch {
-	case e.Version != protocolVersion:
-		out.Error = ErrVersion.Error()
-	case h == nil:
-		out.Error = ErrUnknown.Error()
-	default:
-		b, err := h(ctx, e.Body)
-		if out.Body = b; err != nil {
-			out.Error = err.Error()
-		}
+	if e.Version != protocolVersion {
+		return refusal(fmt.Errorf("%w: %d, want %d", ErrVersion, e.Version, protocolVersion))
 	}
-	// The caller times out if the answer is lost.
-	_ = writeEnvelope(s, out)
-}
-
-// CallError is an error that the called daemon answered.
-type CallError struct {
-	Kind    string
-	Message string
+	if h == nil {
+		return refusal(fmt.Errorf("%w: %q", ErrUnknown, e.Kind))
+	}
+	b, err := h(ctx, e.Body)
+	if err != nil {
+		return envelope{Version: protocolVersion, Body: b, Error: err.Error()}
+	}
+	return envelope{Version: protocolVersion, Body: b}
 }
 
-// Error implements error.
-func (e *CallError) Error() string { return fmt.Sprintf("call %s: %s", e.Kind, e.Message) }
-
 // Call sends a message to the daemon at addr and returns its answer. A daemon's
 // own error comes as a *CallError.
 func (m *Messenger) Call(ctx context.Context, addr, kind string, body []byte) ([]byte, error) {
@@ -260,7 +281,7 @@
 		return nil, fmt.Errorf("call %s at %s: %w", kind, addr, err)
 	}
 	if e.Error != "" {
-		return nil, &CallError{Kind: kind, Message: e.Error}
+		return nil, &CallError{Kind: kind, Message: e.Error, cause: causes[e.Code]}
 	}
 	return e.Body, nil
 }
@@ -289,19 +310,35 @@
 	if conn != nil && conn.Context().Err() == nil {
 		return conn, nil
 	}
+	// Calls at once share one handshake; the end of one does not end it.
+	dialCtx := context.WithoutCancel(ctx)
+	result := m.dials.DoChan(addr, func() (any, error) { return m.dial(dialCtx, addr) })
+	select {
+	case <-ctx.Done():
+		return nil, fmt.Errorf("connect to peer %s: %w", addr, ctx.Err())
+	case r := <-result:
+		if r.Err != nil {
+			return nil, fmt.Errorf("connect to peer %s: %w", addr, r.Err)
+		}
+		return r.Val.(*quic.Conn), nil
+	}
+}
+
+func (m *Messenger) dial(ctx context.Context, addr string) (*quic.Conn, error) {
 	udp, err := net.ResolveUDPAddr("udp", addr)
 	if err != nil {
-		return nil, fmt.Errorf("connect to peer: %w", err)
+		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	conn, err = m.transport.Dial(ctx, udp, m.tls, quicConfig())
+	conn, err := m.transport.Dial(ctx, udp, m.material.client(), quicConfig())
 	if err != nil {
-		return nil, fmt.Errorf("connect to peer %s: %w", addr, err)
+		return nil, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.conns[addr] = conn
+	context.AfterFunc(conn.Context(), func() { m.forget(addr, conn) })
 	return conn, nil
 }
 
@@ -323,20 +360,3 @@
 	// A silent connection takes no close either; its idle timeout ends it.
 	_ = conn.CloseWithError(0, "silent")
 }
-
-func writeEnvelope(w io.Writer, e envelope) error {
-	b, err := cbor.Marshal(e)
-	if err != nil {
-		return err
-	}
-	_, err = w.Write(b)
-	return err
-}
-
-func readEnvelope(r io.Reader, e *envelope) error {
-	b, err := io.ReadAll(io.LimitReader(r, maxMessageBytes))
-	if err != nil {
-		return err
-	}
-	return cbor.Unmarshal(b, e)
-}
--- a/internal/standin/certifier/certifier.go
+++ b/internal/standin/certifier/certifier.go
@@ -3,6 +3,7 @@
 package certifier
 
 import (
+	"cmp"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -54,15 +55,32 @@
 
 func (a *Authority) path(name string) string { return filepath.Join(a.dir, name) }
 
+// CA returns the path of the authority's certificate.
+func (a *Authority) CA() string { return a.path("ca.pem") }
+
+// Options changes what a certificate says.
+type Options struct {
+	// DNSName is the name in place of a daemon's.
+	DNSName string
+	// Expired makes a certificate that has ended.
+	Expired bool
+}
+
 // Issue makes a certificate for a daemon.
-func (a *Authority) Issue(name string) (Files, error) {
-	f := Files{Cert: a.path(name + ".pem"), Key: a.path(name + ".key"), CA: a.path("ca.pem")}
+func (a *Authority) Issue(name string) (Files, error) { return a.IssueWith(name, Options{}) }
+
+// IssueWith makes a certificate that may be unfit for a daemon.
+func (a *Authority) IssueWith(name string, o Options) (Files, error) {
+	f := Files{Cert: a.path(name + ".pem"), Key: a.path(name + ".key"), CA: a.CA()}
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return f, fmt.Errorf("issue certificate: %w", err)
 	}
 	tmpl := template(name)
-	tmpl.DNSNames = []string{"pomelotiller"}
+	tmpl.DNSNames = []string{cmp.Or(o.DNSName, "pomelotiller")}
+	if o.Expired {
+		tmpl.NotAfter = time.Now().Add(-time.Minute)
+	}
 	tmpl.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
 	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, key.Public(), a.key)
 	if err != nil {
