Order releases, watch by two daemons a failure domain, publish above all known

Cause: releases of one generation with different texts (a publish after the store was set back while a failure domain is cut off) split the fleet, since the controller ignored the second one it met; every daemon kept a watch; a store set back to older data was neither told nor mended; a publish at a daemon that lags while the store is set back was refused with the wrong generation.

Before (TestReleasesInAnyOrder with the old comparison): 'same generation, other text' ends with another release in each order. After: passes. Releases are ordered by generation, time and text; gossip announces a digest beside the generation; a watcher writes the release in force back by compare-and-swap; a publish over a store that lost data leaves a gap of 1000 generations. The host list's entry hosts are seeds; a planned stop ends as gone.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -146,11 +146,11 @@
 
 func (e releaseEvent) apply(c *Controller) {
 	r := publisher.Release(e)
-	if r.Generation < c.release.Generation {
+	if c.release.Newer(r) {
 		meter.Count(c.cfg.Registry, 1, "config_stale_total")
 		return
 	}
-	if r.Generation == c.release.Generation {
+	if !r.Newer(c.release) {
 		return
 	}
 	set, err := r.Set()
@@ -220,10 +220,23 @@
 		WithConfig(c.release.Generation, c.set).
 		WithEndpoints(c.endpoints()).
 		WithMembers(c.members).
+		WithEntries(c.entries()).
 		WithSplits(c.splits)
 	c.cfg.Holder.Store(v)
 }
 
+// entries returns the addresses of entry hosts: hints at daemons that are not
+// known by gossip yet.
+func (c *Controller) entries() []string {
+	var out []string
+	for _, h := range c.hosts {
+		if h.Role == lister.RoleEntry && h.State == lister.StateLive {
+			out = append(out, h.Address)
+		}
+	}
+	return out
+}
+
 func (c *Controller) endpoints() []viewer.Endpoint {
 	var out []viewer.Endpoint
 	for _, h := range c.hosts {
--- a/internal/control/publisher/watcher.go
+++ b/internal/control/publisher/watcher.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
 	"pomelotiller/internal/fleet/messenger"
@@ -14,11 +15,12 @@
 )
 
 const (
-	// callKind is the kind of the call that asks a peer for its release.
-	callKind     = "config"
 	watchBackoff = 200 * time.Millisecond
-	pullPeriod   = 100 * time.Millisecond
-	pullTimeout  = time.Second
+	// rolePeriod is the time between looks at whether this daemon is to watch.
+	rolePeriod = 200 * time.Millisecond
+	// fullReads is the number of watches after which the store is read anew,
+	// which finds a store that was set back and then overtook itself.
+	fullReads = 30
 )
 
 // Caller is the part of a messenger that a watcher needs.
@@ -27,12 +29,6 @@
 	Handle(kind string, h messenger.Handler)
 }
 
-// Peer is a daemon with the generation that it announced.
-type Peer struct {
-	Address    string
-	Generation uint64
-}
-
 // WatcherConfig configures a Watcher.
 type WatcherConfig struct {
 	Store  storer.Store
@@ -42,47 +38,97 @@
 	// Adopt offers a release that was read; it ignores one that is not newer.
 	Adopt func(Release)
 	// Peers returns the other daemons.
-	Peers    func() []Peer
+	Peers func() []Peer
+	// Watching reports whether this daemon is one of those of its failure
+	// domain that watch the store; nil means that it is.
+	Watching func() bool
 	Logger   log.Logger
 	Registry metrics.Registry
 }
 
+func (cfg WatcherConfig) withDefaults() WatcherConfig {
+	if cfg.Watching == nil {
+		cfg.Watching = func() bool { return true }
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = log.NewNopLogger()
+	}
+	if cfg.Registry == nil {
+		cfg.Registry = metrics.NewRegistry()
+	}
+	return cfg
+}
+
 // Watcher brings releases to this daemon, from the store and from peers.
 type Watcher struct {
-	cfg WatcherConfig
+	cfg  WatcherConfig
+	wake chan struct{}
+	// pulled is the release that a peer gave last, and behind is the digest of
+	// the older one that the store was last seen to hold. Each belongs to one
+	// goroutine.
+	pulled Release
+	behind uint64
+}
+
+// releaseEncoding keeps the full precision of times, on which the order of
+// releases depends.
+var releaseEncoding = mustEncoding()
+
+func mustEncoding() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		// The options above are valid.
+		panic(err)
+	}
+	return m
 }
 
 // NewWatcher returns a watcher that also answers peers who ask for the release
 // in force here.
 func NewWatcher(cfg WatcherConfig) *Watcher {
-	w := &Watcher{cfg: cfg}
+	w := &Watcher{cfg: cfg.withDefaults(), wake: make(chan struct{}, 1)}
 	cfg.Caller.Handle(callKind, func(context.Context, []byte) ([]byte, error) {
-		return cbor.Marshal(w.cfg.Current())
+		return releaseEncoding.Marshal(w.cfg.Current())
 	})
 	return w
 }
 
-// RunStore watches the store until ctx ends.
+// RunStore watches the store until ctx ends, while it is this daemon's turn.
 func (w *Watcher) RunStore(ctx context.Context) error {
 	var from uint64
-	for ctx.Err() == nil {
+	for n := 0; ctx.Err() == nil; n++ {
+		if !w.cfg.Watching() {
+			from = 0
+			sleep(ctx, rolePeriod)
+			continue
+		}
+		if n%fullReads == 0 {
+			from = 0
+		}
 		page, err := w.cfg.Store.Watch(ctx, Key, from)
 		if err != nil {
 			meter.Count(w.cfg.Registry, 1, "config_watch_failures_total")
 			sleep(ctx, watchBackoff)
 			continue
 		}
-		// A store that was set back has a lower revision; watch from there.
+		if page.Revision < from {
+			// The store was set back: read what it holds now.
+			page.Revision = 0
+		}
+		if from == 0 && len(page.Entries) == 0 && w.cfg.Current().Generation > 0 {
+			w.repair(ctx, storer.Entry{}, Release{})
+		}
 		from = page.Revision
 		for _, e := range page.Entries {
-			w.take(e)
+			w.take(ctx, e)
 		}
 	}
 	return nil
 }
 
-func (w *Watcher) take(e storer.Entry) {
+func (w *Watcher) take(ctx context.Context, e storer.Entry) {
 	if e.Deleted {
+		w.repair(ctx, storer.Entry{}, Release{})
 		return
 	}
 	r, err := Decode(e)
@@ -90,36 +136,34 @@
 		meter.Count(w.cfg.Registry, 1, "config_malformed_total")
 		return
 	}
-	w.cfg.Adopt(r)
-}
-
-// RunPeers asks peers that announce a newer release for it, until ctx ends.
-func (w *Watcher) RunPeers(ctx context.Context) error {
-	for ctx.Err() == nil {
-		for _, p := range w.cfg.Peers() {
-			if p.Generation > w.cfg.Current().Generation {
-				w.pull(ctx, p)
-			}
-		}
-		sleep(ctx, pullPeriod)
+	if w.cfg.Current().Newer(r) {
+		w.repair(ctx, e, r)
+		return
 	}
-	return nil
+	w.cfg.Adopt(r)
 }
 
-func (w *Watcher) pull(ctx context.Context, p Peer) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	b, err := w.cfg.Caller.Call(ctx, p.Address, callKind, nil)
-	if err != nil {
-		meter.Count(w.cfg.Registry, 1, "config_pull_failures_total")
+// repair puts the release in force back into a store that holds an older one.
+// The write replaces just that entry, so it never undoes a publish.
+func (w *Watcher) repair(ctx context.Context, e storer.Entry, stored Release) {
+	current := w.cfg.Current()
+	if current.Generation == 0 {
 		return
 	}
-	var r Release
-	if err := cbor.Unmarshal(b, &r); err != nil {
-		meter.Count(w.cfg.Registry, 1, "config_malformed_total")
+	if d := stored.Digest(); d != w.behind {
+		w.behind = d
+		meter.Count(w.cfg.Registry, 1, "config_store_behind_total")
+		// A logger that fails has nowhere to say so.
+		_ = level.Warn(w.cfg.Logger).Log("msg", "store holds an older configuration, not adopted",
+			"generation", stored.Generation, "in_force", current.Generation)
+	}
+	current.Repaired = true
+	p := New(Config{Store: w.cfg.Store})
+	if err := p.write(ctx, current, e.Revision); err != nil {
+		meter.Count(w.cfg.Registry, 1, "config_repair_failures_total")
 		return
 	}
-	w.cfg.Adopt(r)
+	meter.Count(w.cfg.Registry, 1, "config_repairs_total")
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -120,17 +120,14 @@
 	}
 	d.release.Store(&publisher.Release{})
 	d.gossiper = gossiper.New(gossiper.Config{
-		Self: self, Sender: d.messenger, Caller: d.messenger, Seeds: func() []string { return s.Seeds },
+		Self: self, Sender: d.messenger, Caller: d.messenger, Seeds: d.seeds,
 		Changed: d.membersChanged, Logger: d.logger, Registry: d.registry,
 	})
 	d.control = controller.New(controller.Config{
 		Holder: &d.holder, Lister: lister.NewClient(lister.ClientConfig{Address: s.Platform}),
 		Adopted: d.adopted, Logger: d.logger, Registry: d.registry,
 	})
-	d.watcher = publisher.NewWatcher(publisher.WatcherConfig{
-		Store: store, Caller: d.messenger, Current: d.current, Adopt: func(r publisher.Release) { d.control.Adopt(d.ctx, r) },
-		Peers: d.peers, Logger: d.logger, Registry: d.registry,
-	})
+	d.watcher = d.newWatcher()
 	d.prober = prober.New(prober.Config{
 		Endpoints: func() []viewer.Endpoint { return d.holder.Load().Endpoints },
 		Report:    func(r []prober.Report) { d.control.SetReports(d.ctx, r) },
@@ -152,7 +149,7 @@
 		}),
 	})
 	d.informer = informer.New(informer.Config{
-		View: d.holder.Load, Current: d.current, Publisher: publisher.New(publisher.Config{Store: store}),
+		View: d.holder.Load, Current: d.current, Publisher: d.newPublisher(store),
 		Recorder: rec, Drain: d.Drain, Registry: d.registry,
 	})
 }
@@ -189,19 +186,7 @@
 
 func (d *Daemon) adopted(r publisher.Release) {
 	d.release.Store(&r)
-	d.gossiper.SetGeneration(r.Generation)
-}
-
-func (d *Daemon) membersChanged() { d.control.SetMembers(d.ctx, d.gossiper.Members()) }
-
-func (d *Daemon) peers() []publisher.Peer {
-	var peers []publisher.Peer
-	for _, m := range d.gossiper.Members() {
-		if m.Name != d.settings.Name && m.State != viewer.StateGone {
-			peers = append(peers, publisher.Peer{Address: m.Peers, Generation: m.Generation})
-		}
-	}
-	return peers
+	d.gossiper.SetRelease(r.Generation, r.Digest())
 }
 
 // Run serves until stop ends or Drain is called, then stops in order: traffic
@@ -234,6 +219,7 @@
 	g.Go(func() error {
 		defer d.end()
 		err := d.listener.Serve(serving, d.callers, d.settings.Drain.Std())
+		d.gossiper.SetState(viewer.StateGone)
 		time.Sleep(leaveTime)
 		return err
 	})
--- a/internal/daemon/informer/informer.go
+++ b/internal/daemon/informer/informer.go
@@ -65,6 +65,7 @@
 	r := chi.NewRouter()
 	r.Get("/config", i.serveConfig)
 	r.Put("/config", i.servePublish)
+	r.Get("/config/status", i.serveStatus)
 	r.Post("/config/check", i.serveCheck)
 	r.Get("/members", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, i.cfg.View().Members) })
 	r.Get("/endpoints", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, i.cfg.View().Endpoints) })
@@ -93,7 +94,7 @@
 	case errors.As(err, &faults):
 		status, body.Faults = http.StatusUnprocessableEntity, faults.Faults
 	case errors.As(err, &conflict):
-		status, body.Generation, body.Text = http.StatusPreconditionFailed, conflict.Current.Generation, string(conflict.Current.Text)
+		status, body.Generation, body.Text = http.StatusPreconditionFailed, conflict.Highest, string(conflict.Current.Text)
 	case errors.Is(err, storer.ErrNotFound):
 		status = http.StatusNotFound
 	}
--- a/internal/fleet/viewer/viewer.go
+++ b/internal/fleet/viewer/viewer.go
@@ -69,6 +69,8 @@
 	Set        loader.Set
 	Endpoints  []Endpoint
 	Members    []Member
+	// Entries are the peer addresses of entry hosts on the platform's list.
+	Entries []string
 	// Splits holds the shares that moves put in place of a route's own.
 	Splits map[string][]loader.Share
 }
@@ -91,6 +93,12 @@
 	return v
 }
 
+// WithEntries returns the view with other entry hosts.
+func (v View) WithEntries(addresses []string) View {
+	v.Entries = slices.Clone(addresses)
+	return v
+}
+
 // WithSplits returns the view with other shares of moving routes.
 func (v View) WithSplits(splits map[string][]loader.Share) View {
 	v.Splits = maps.Clone(splits)
--- a/internal/platform/lister/lister.go
+++ b/internal/platform/lister/lister.go
@@ -31,11 +31,13 @@
 
 // Host is one entry of the platform's list.
 type Host struct {
-	Name        string    `json:"name"`
-	Domain      string    `json:"domain"`
-	Pool        string    `json:"pool,omitempty"`
-	Class       string    `json:"class,omitempty"`
-	Role        Role      `json:"role"`
+	Name   string `json:"name"`
+	Domain string `json:"domain"`
+	Pool   string `json:"pool,omitempty"`
+	Class  string `json:"class,omitempty"`
+	Role   Role   `json:"role"`
+	// Address is where the host serves: an endpoint its callers, an entry host
+	// other daemons, over UDP.
 	Address     string    `json:"address"`
 	State       State     `json:"state"`
 	Reclaimable bool      `json:"reclaimable,omitempty"`
--- a/internal/standin/keeper/handler.go
+++ b/internal/standin/keeper/handler.go
@@ -91,6 +91,7 @@
 		return false
 	}
 	k.faults.LoseAnswers--
+	k.faults.Down = k.faults.Down || k.faults.DownAfterLoss
 	return true
 }
 
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -43,6 +43,8 @@
 	// LoseAnswers is the number of coming writes whose answer is cut off after
 	// the write took effect.
 	LoseAnswers int `json:"lose_answers"`
+	// DownAfterLoss takes the service down once an answer was lost.
+	DownAfterLoss bool `json:"down_after_loss"`
 	// Delay is added to each call.
 	Delay time.Duration `json:"delay"`
 }
