Give the engine stand-in a batch, a prefix cache and cache events

The stand-in answered each request on a timer of its own, so that no routing policy could gain or lose anything on it. It now runs one continuous batch: a step takes a stated time as a function of sequences, context and prompt tokens computed; prompts are computed in chunks, from the first block that the prefix cache lacks; blocks live in limited memory under least-recently-used eviction; priorities order the queue; events come late and with gaps; reports lag.

The batch knows no clock, so that the same code runs in real time behind HTTP and in virtual time for comparisons. Memory is reserved up to the last token of an answer in place of preemption, and blocks of answers are not kept: both leave the engine simpler and slightly worse than real ones.

Hand-worked cases: go test -race ./internal/standin/generator

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/goccy/go-yaml"
 	"github.com/spf13/cobra"
 
 	"pomelotiller/internal/standin/faulter"
@@ -40,14 +41,34 @@
 
 func engineCommand() *cobra.Command {
 	var cfg generator.Config
-	cmd := &cobra.Command{Use: "engine", Short: "Model engine"}
+	var file string
+	cmd := &cobra.Command{Use: "engine", Short: "Model engine", Example: "  standin engine -c examples/load/engine.yaml"}
+	cmd.Flags().StringVarP(&file, "config", "c", "", "parameters in YAML; they go before the flags")
 	cmd.Flags().StringSliceVar(&cfg.Versions, "versions", nil, "versions loaded at the start")
 	cmd.Flags().DurationVar(&cfg.FirstToken, "first", 0, "time to the first token")
 	cmd.Flags().DurationVar(&cfg.TokenTime, "token", 0, "time between tokens")
 	cmd.Flags().BoolVar(&cfg.Fencing, "fencing", false, "refuse orders with an old fencing number")
+	cmd.PreRunE = func(*cobra.Command, []string) error {
+		if file == "" {
+			return nil
+		}
+		return readEngine(file, &cfg)
+	}
 	return serving(cmd, func() http.Handler { return generator.New(cfg).Handler() })
 }
 
+// readEngine reads an engine's parameters over those that the flags set.
+func readEngine(path string, cfg *generator.Config) error {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("engine: %w", err)
+	}
+	if err := yaml.UnmarshalWithOptions(b, cfg, yaml.Strict()); err != nil {
+		return fmt.Errorf("engine %s: %w", path, err)
+	}
+	return nil
+}
+
 func serviceCommand() *cobra.Command {
 	var cfg servicer.Config
 	cmd := &cobra.Command{Use: "service", Short: "Plain service that counts its runs"}
--- /dev/null
+++ b/internal/standin/generator/batch_test.go
@@ -0,0 +1,200 @@
+package generator
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pomelotiller/internal/platform/inferrer"
+)
+
+const ms = time.Millisecond
+
+// hand is the model of the hand-worked cases: 10 ms a step, 1 ms a sequence,
+// 1 ms a prompt token, 32 prompt tokens a step at most.
+var hand = Model{StepTime: 10 * ms, SequenceTime: ms, PrefillTime: ms, Chunk: 32, Sequences: 2, Blocks: 8}
+
+// run steps a batch until it is empty and returns the instant of each token.
+func run(b *Batch, jobs ...*Job) []string {
+	var now time.Duration
+	var got []string
+	for _, j := range jobs {
+		j.Emit = func(n int) { got = append(got, fmt.Sprintf("%s%d@%d", j.ID, n, now/ms)) }
+		if err := b.Submit(j); err != nil {
+			got = append(got, j.ID+": "+err.Error())
+		}
+	}
+	for {
+		d, ok := b.Begin()
+		if !ok {
+			return got
+		}
+		now += d
+		b.Finish()
+	}
+}
+
+func prompt(id, text string, answer int) *Job {
+	return &Job{ID: id, Hashes: inferrer.BlockHashes("v", text), PromptTokens: inferrer.Tokens(text), Max: answer}
+}
+
+func TestBatchTimes(t *testing.T) {
+	long := strings.Repeat("a", 48*inferrer.TokenBytes)
+	other := strings.Repeat("b", 16*inferrer.TokenBytes)
+	urgent := prompt("u", other, 1)
+	urgent.Priority = 1
+	resumed := prompt("r", other, 3)
+	resumed.From = 2
+	slow := prompt("s", other, 2)
+	slow.Slow = 2
+	for name, c := range map[string]struct {
+		jobs []*Job
+		want []string
+	}{
+		// 48 tokens in chunks of 32 and 16: 10+1+32 = 43, then 10+1+16 = 27.
+		"prefill in chunks": {[]*Job{prompt("a", long, 2)}, []string{"a0@70", "a1@81"}},
+		// The second prompt takes the budget that the first leaves.
+		"two share a step": {
+			[]*Job{prompt("a", other, 2), prompt("b", other+other, 1)},
+			// 10+2+32 = 44 computes a and half of b; 10+2+16 = 28 the rest.
+			[]string{"a0@44", "a1@72", "b0@72"},
+		},
+		// The third waits for a place among two.
+		"queue": {
+			[]*Job{prompt("a", other, 1), prompt("b", other, 1), prompt("c", long, 1)},
+			[]string{"a0@44", "b0@44", "c0@114"},
+		},
+		"priority goes first": {
+			[]*Job{prompt("a", long, 1), prompt("b", long, 1), urgent},
+			// u and a start: 44 ms compute u and 16 of a; then 44 ms compute the
+			// rest of a; b takes u's place at 44, before a's blocks are stored, and
+			// computes 32 in 43 ms and 16 in 27 ms after a.
+			[]string{"u0@44", "a0@88", "b0@158"},
+		},
+		"resume computes what was generated": {[]*Job{resumed}, []string{"r2@29"}},
+		"slow":                               {[]*Job{slow}, []string{"s0@38", "s1@60"}},
+		"too large": {
+			[]*Job{prompt("a", long, 128)},
+			[]string{"a: " + ErrTooLarge.Error()},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := run(NewBatch(hand), c.jobs...); !reflect.DeepEqual(got, c.want) {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestBatchCache(t *testing.T) {
+	text := func(letter string, blocks int) string {
+		return strings.Repeat(letter, blocks*inferrer.BlockTokens*inferrer.TokenBytes)
+	}
+	b := NewBatch(hand)
+	steps := []struct {
+		name string
+		job  *Job
+		want Totals
+		held int
+	}{
+		{"cold", prompt("a", text("a", 3), 1), Totals{Computed: 48, Generated: 1}, 3},
+		{"whole prefix", prompt("b", text("a", 3)+"tail", 1), Totals{Computed: 49, Cached: 48, Generated: 2}, 3},
+		{"last token is computed again", prompt("c", text("a", 3), 1), Totals{Computed: 50, Cached: 96, Generated: 3}, 3},
+		// 4 blocks and one for the answer fit beside 3 idle blocks.
+		{"other prefix", prompt("d", text("d", 4), 1), Totals{Computed: 114, Cached: 96, Generated: 4}, 4},
+		// 3 of 8 blocks are a's and 4 are d's; 5 more evict a's 3 and the end
+		// of d's.
+		{"eviction", prompt("e", text("e", 4), 1), Totals{Computed: 178, Cached: 96, Generated: 5}, 4},
+	}
+	for _, s := range steps {
+		run(b, s.job)
+		if got := b.Totals(); got != s.want {
+			t.Errorf("%s: got %+v, want %+v", s.name, got, s.want)
+		}
+		if got := b.Held(s.job.Hashes); got != s.held {
+			t.Errorf("%s: got %d blocks held, want %d", s.name, got, s.held)
+		}
+	}
+	for letter, want := range map[string]int{"a": 0, "d": 3} {
+		if got := b.Held(inferrer.BlockHashes("v", text(letter, 4))); got != want {
+			t.Errorf("blocks of %s: got %d held, want %d", letter, got, want)
+		}
+	}
+	if got := b.Load(); got.CacheUsed != 7 || got.Running != 0 {
+		t.Errorf("got load %+v, want 7 blocks in the cache and nothing running", got)
+	}
+}
+
+func TestBatchCancelFreesMemory(t *testing.T) {
+	b := NewBatch(hand)
+	a := prompt("a", strings.Repeat("a", 3*64), 64)
+	if err := b.Submit(a); err != nil {
+		t.Fatal(err)
+	}
+	b.Begin()
+	b.Cancel(a)
+	b.Finish()
+	if got := b.Load().CacheUsed; got != 0 {
+		t.Errorf("got %d blocks used, want 0", got)
+	}
+}
+
+func TestEventsLateWithGaps(t *testing.T) {
+	e := NewEvents(time.Second, 0.5, 1)
+	start := time.Unix(0, 0)
+	for i := range 100 {
+		e.Add(start.Add(time.Duration(i)*10*ms), inferrer.EventStored, []uint64{uint64(i)})
+	}
+	if got := e.From(start.Add(999*ms), 0); len(got) != 0 {
+		t.Errorf("got %d events before the lag, want none", len(got))
+	}
+	got := e.From(start.Add(time.Hour), 0)
+	if len(got) < 30 || len(got) > 70 {
+		t.Errorf("got %d of 100 events, want about half", len(got))
+	}
+	for _, ev := range got {
+		if ev.Number != ev.Blocks[0]+1 {
+			t.Errorf("got number %d for event %d: a lost event must leave a gap", ev.Number, ev.Blocks[0])
+		}
+	}
+	if later := e.From(start.Add(time.Hour), got[3].Number); len(later) != len(got)-3 {
+		t.Errorf("got %d events from the fourth on, want %d", len(later), len(got)-3)
+	}
+}
+
+func TestEngineOverHTTP(t *testing.T) {
+	g := New(Config{Versions: []string{"v"}, TokenTime: ms, Model: hand, ReportLag: time.Hour})
+	srv := httptest.NewServer(g.Handler())
+	defer srv.Close()
+	c := inferrer.NewClient(inferrer.ClientConfig{Address: strings.TrimPrefix(srv.URL, "http://")})
+	text := strings.Repeat("c", 3*64)
+	s, err := c.Start(t.Context(), inferrer.Attempt{
+		Request: "r", Number: 1, Path: inferrer.PathCompletion, From: 1,
+		Body: []byte(`{"model":"v","max_tokens":4,"prompt":"` + text + `"}`),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	var got string
+	for chunk, err := s.Next(); err == nil; chunk, err = s.Next() {
+		got += chunk.Choices[0].Text
+	}
+	if want := strings.TrimPrefix(Text("v", text, 4), Token("v", text, 0)); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	events, err := c.Events(t.Context(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []inferrer.Event{{Number: 1, Kind: inferrer.EventStored, Blocks: inferrer.BlockHashes("v", text)}}
+	if !reflect.DeepEqual(events, want) {
+		t.Errorf("got events %v, want %v", events, want)
+	}
+	if got := g.Load(); got.CacheUsed != 0 {
+		t.Errorf("got %d blocks in a report that lags by an hour, want 0", got.CacheUsed)
+	}
+}
--- a/internal/standin/generator/generator.go
+++ b/internal/standin/generator/generator.go
@@ -17,10 +17,20 @@
 type Config struct {
 	// Versions are the versions loaded at the start.
 	Versions []string `yaml:"versions"`
-	// FirstToken is the time to the first token.
+	// FirstToken is added to the time to the first token.
 	FirstToken time.Duration `yaml:"first"`
-	// TokenTime is the time between tokens.
+	// TokenTime is the time between tokens; it is added to the model's steps.
 	TokenTime time.Duration `yaml:"token"`
+	// Model states speed and memory.
+	Model Model `yaml:"model"`
+	// EventLag is how late cache events can be read, and EventLoss the part
+	// of them that is lost.
+	EventLag  time.Duration `yaml:"event_lag"`
+	EventLoss float64       `yaml:"event_loss"`
+	// ReportLag is how old the counts of a load report are.
+	ReportLag time.Duration `yaml:"report_lag"`
+	// Seed decides which events are lost.
+	Seed uint64 `yaml:"seed"`
 	// MaxTokens is the length of an answer whose request names none.
 	MaxTokens int `yaml:"length"`
 	// Fencing makes the engine refuse orders with an old fencing number.
@@ -41,7 +51,11 @@
 	FaultShort  Fault = "short"
 )
 
-const defaultMaxTokens = 16
+const (
+	defaultMaxTokens = 16
+	// maxDelay bounds the lateness that later steps make up for.
+	maxDelay = 100 * time.Millisecond
+)
 
 // Generator is one engine. All methods are safe for concurrent use.
 type Generator struct {
@@ -52,6 +66,18 @@
 	leaving  bool
 	fence    uint64
 	served   map[string]int
+	batch    *Batch
+	events   *Events
+	// looping is set while a goroutine runs the batch.
+	looping bool
+	// shown is the load that reports show, and next the one after it.
+	shown, next stampedLoad
+}
+
+// stampedLoad is a load with its time.
+type stampedLoad struct {
+	inferrer.Load
+	at time.Time
 }
 
 // New returns an engine.
@@ -59,12 +85,16 @@
 	if cfg.MaxTokens == 0 {
 		cfg.MaxTokens = defaultMaxTokens
 	}
+	cfg.Model.StepTime += cfg.TokenTime
 	g := &Generator{
 		cfg:      cfg,
 		versions: make(map[string]bool),
 		running:  make(map[string]func()),
 		served:   make(map[string]int),
+		batch:    NewBatch(cfg.Model),
+		events:   NewEvents(cfg.EventLag, cfg.EventLoss, cfg.Seed),
 	}
+	g.batch.Changed = func(kind inferrer.EventKind, blocks []uint64) { g.events.Add(time.Now(), kind, blocks) }
 	for _, v := range cfg.Versions {
 		g.versions[v] = true
 	}
@@ -82,13 +112,87 @@
 func (g *Generator) Load() inferrer.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l := inferrer.Load{Versions: []string{}, Running: len(g.running), Leaving: g.leaving, Fence: g.fence}
+	l := g.laggedLoad(time.Now())
+	l.Versions, l.Leaving, l.Fence = []string{}, g.leaving, g.fence
 	for v := range g.versions {
 		l.Versions = append(l.Versions, v)
 	}
 	return l
 }
 
+// laggedLoad returns counts that are at least as old as the report lag. The
+// caller holds the lock.
+func (g *Generator) laggedLoad(now time.Time) inferrer.Load {
+	current := stampedLoad{g.batch.Load(), now}
+	// Requests whose first token is delayed are not in the batch yet.
+	current.Running = len(g.running) - current.Waiting
+	if g.cfg.ReportLag == 0 {
+		return current.Load
+	}
+	if now.Sub(g.next.at) >= g.cfg.ReportLag {
+		g.shown, g.next = g.next, current
+	}
+	return g.shown.Load
+}
+
+// Events returns the visible cache events from a number on.
+func (g *Generator) Events(from uint64) []inferrer.Event {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.events.From(time.Now(), from)
+}
+
+// Totals returns what the engine has computed so far.
+func (g *Generator) Totals() Totals {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.batch.Totals()
+}
+
+// submit queues a job and sees to it that the batch runs.
+func (g *Generator) submit(j *Job) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.batch.Submit(j); err != nil {
+		return err
+	}
+	if !g.looping {
+		g.looping = true
+		go g.loop()
+	}
+	return nil
+}
+
+// withdraw takes a job out of the batch, if it is still there.
+func (g *Generator) withdraw(j *Job) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.batch.Cancel(j)
+}
+
+// loop runs the batch in real time until it is empty. A step that was late
+// shortens the wait of the next.
+func (g *Generator) loop() {
+	end := time.Now()
+	for {
+		g.mu.Lock()
+		d, ok := g.batch.Begin()
+		if !ok {
+			g.looping = false
+			g.mu.Unlock()
+			return
+		}
+		g.mu.Unlock()
+		if end = end.Add(d); time.Since(end) > maxDelay {
+			end = time.Now()
+		}
+		time.Sleep(time.Until(end))
+		g.mu.Lock()
+		g.batch.Finish()
+		g.mu.Unlock()
+	}
+}
+
 // Served returns the number of completions started for each version.
 func (g *Generator) Served() map[string]int {
 	g.mu.Lock()
--- a/internal/standin/generator/handler.go
+++ b/internal/standin/generator/handler.go
@@ -16,7 +16,8 @@
 
 const slowFactor = 20
 
-// Handler serves the engine's protocol, and /leaving and /served for tests.
+// Handler serves the engine's protocol, and /leaving, /served and /totals for
+// tests.
 func (g *Generator) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Post(inferrer.PathChat, g.serveCompletion)
@@ -24,7 +25,8 @@
 	r.Post("/requests/{id}/resume", g.serveCompletion)
 	r.Post("/requests/{id}/cancel", g.serveCancel)
 	r.Get("/load", func(w http.ResponseWriter, _ *http.Request) { reply(w, g.Load()) })
-	r.Get("/events", func(w http.ResponseWriter, _ *http.Request) { reply(w, []inferrer.Event{}) })
+	r.Get("/events", g.serveEvents)
+	r.Get("/totals", func(w http.ResponseWriter, _ *http.Request) { reply(w, g.Totals()) })
 	r.Post("/orders", g.serveOrder)
 	r.Put("/leaving", func(http.ResponseWriter, *http.Request) { g.SetLeaving(true) })
 	r.Get("/served", func(w http.ResponseWriter, _ *http.Request) { reply(w, g.Served()) })
@@ -37,6 +39,15 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+func (g *Generator) serveEvents(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	reply(w, g.Events(from))
+}
+
 func (g *Generator) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var o inferrer.Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
@@ -81,7 +92,7 @@
 	w.Header().Set(inferrer.HeaderRequest, id)
 	w.Header().Set(inferrer.HeaderAttempt, r.Header.Get(inferrer.HeaderAttempt))
 	w.Header().Set("Content-Type", "text/event-stream")
-	g.stream(ctx, w, id, p, from)
+	g.stream(ctx, w, id, p, from, priorities[r.Header.Get(inferrer.HeaderPriority)])
 }
 
 // begin registers a request, or returns the status that refuses it.
@@ -108,35 +119,68 @@
 	delete(g.running, id)
 }
 
-func (g *Generator) stream(ctx context.Context, w http.ResponseWriter, id string, p inferrer.Prompt, from int) {
+// priorities orders the priority classes; an unknown one counts as normal.
+var priorities = map[string]int{"high": 1, "low": -1}
+
+func (g *Generator) stream(ctx context.Context, w http.ResponseWriter, id string, p inferrer.Prompt, from, priority int) {
 	n := p.MaxTokens
 	if n == 0 {
 		n = g.cfg.MaxTokens
 	}
-	wait, tokenTime := g.cfg.FirstToken, g.cfg.TokenTime
+	wait, slow := g.cfg.FirstToken, 1
 	switch g.cfg.Faulty[p.Model] {
 	case FaultSlow:
-		wait, tokenTime = wait*slowFactor, tokenTime*slowFactor
+		wait, slow = wait*slowFactor, slowFactor
 	case FaultShort:
 		n /= 2
 	}
-	out := http.NewResponseController(w)
+	if from < n && !g.streamTokens(ctx, w, id, p, from, n, priority, wait, slow) {
+		return
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// streamTokens writes tokens from to n as the batch yields them, and reports
+// whether all were written.
+func (g *Generator) streamTokens(ctx context.Context, w http.ResponseWriter, id string, p inferrer.Prompt, from, n, priority int, wait time.Duration, slow int) bool {
+	if !sleep(ctx, wait) {
+		return false
+	}
 	prompt := p.Text()
+	tokens := make(chan int, n-from)
+	j := &Job{
+		ID: id, Priority: priority, Hashes: inferrer.BlockHashes(p.Model, prompt), PromptTokens: inferrer.Tokens(prompt),
+		From: from, Max: n, Slow: slow, Emit: func(n int) { tokens <- n },
+	}
+	if err := g.submit(j); err != nil {
+		return false
+	}
+	defer g.withdraw(j)
+	out := http.NewResponseController(w)
 	for i := from; i < n; i++ {
 		select {
 		case <-ctx.Done():
-			return
-		case <-time.After(wait):
+			return false
+		case <-tokens:
 		}
-		wait = tokenTime
 		if err := writeChunk(w, chunk(id, p, prompt, i, i == n-1)); err != nil {
-			return
+			return false
 		}
 		if err := out.Flush(); err != nil {
-			return
+			return false
 		}
 	}
-	fmt.Fprint(w, "data: [DONE]\n\n")
+	return true
+}
+
+// sleep waits and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return ctx.Err() == nil
+	}
 }
 
 func chunk(id string, p inferrer.Prompt, prompt string, n int, last bool) inferrer.Chunk {
