--- a/cmd/pomelotiller/load.go
+++ b/cmd/pomelotiller/load.go
@@ -2,23 +2,85 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
+	"io"
+	"os"
 
+	"github.com/schollz/progressbar/v3"
 	"github.com/spf13/cobra"
+	"golang.org/x/term"
+
+	"pomelotiller/internal/measure/driver"
+	"pomelotiller/internal/measure/planner"
 )
 
+// loadFlags are the flags of the load verb.
+type loadFlags struct {
+	scenario string
+	output   string
+	plot     string
+	seed     uint64
+}
+
 // loadVerb returns the verb that puts a measured load on daemons.
 func loadVerb() *cobra.Command {
-	var scenario string
+	var f loadFlags
 	cmd := &cobra.Command{
 		Use:     "load -f scenario.yaml",
 		Short:   "Put an open-loop load on daemons and report what came of it",
-		Example: "  pomelotiller load -f scenario.yaml",
+		Example: "  pomelotiller load -f examples/load/granite.yaml --plot first.png",
 		Args:    cobra.NoArgs,
-		RunE: verb(func(context.Context, *cobra.Command, []string) error {
-			return errors.New("not built yet")
-		}).run,
 	}
-	cmd.Flags().StringVarP(&scenario, "file", "f", "", "the scenario")
+	cmd.RunE = verb(func(ctx context.Context, cmd *cobra.Command, _ []string) error { return f.run(ctx, cmd) }).run
+	cmd.Flags().StringVarP(&f.scenario, "file", "f", "", "the scenario")
+	cmd.Flags().StringVarP(&f.output, "output", "o", "text", "form of the report: text or json")
+	cmd.Flags().StringVar(&f.plot, "plot", "", "file for a plot of the times to the first token, .png or .svg")
+	cmd.Flags().Uint64Var(&f.seed, "seed", 0, "seed in place of the scenario's")
+	if err := cmd.MarkFlagRequired("file"); err != nil {
+		panic(err)
+	}
 	return cmd
 }
+
+func (f *loadFlags) run(ctx context.Context, cmd *cobra.Command) error {
+	if f.output != "text" && f.output != "json" {
+		return fmt.Errorf("output %q is not one of text, json", f.output)
+	}
+	s, err := planner.ReadScenario(f.scenario)
+	if err != nil {
+		return err
+	}
+	if cmd.Flags().Changed("seed") {
+		s.Seed = f.seed
+	}
+	r, err := driver.New(driver.Config{Scenario: s, Progress: progress(cmd.ErrOrStderr())}).Run(ctx)
+	if err != nil {
+		return err
+	}
+	if f.plot != "" {
+		if err := r.Plot(f.plot); err != nil {
+			return err
+		}
+	}
+	if f.output == "json" {
+		return r.WriteJSON(cmd.OutOrStdout())
+	}
+	return r.WriteText(cmd.OutOrStdout())
+}
+
+// progress returns a function that draws a bar if w is a terminal.
+func progress(w io.Writer) func(done, all int) {
+	file, ok := w.(*os.File)
+	if !ok || !term.IsTerminal(int(file.Fd())) {
+		return nil
+	}
+	var bar *progressbar.ProgressBar
+	return func(done, all int) {
+		if bar == nil {
+			bar = progressbar.NewOptions(all, progressbar.OptionSetWriter(w), progressbar.OptionSetDescription("requests"),
+				progressbar.OptionShowCount(), progressbar.OptionClearOnFinish())
+		}
+		// A bar that cannot be drawn must not end the load.
+		_ = bar.Set(done)
+	}
+}
--- a/internal/standin/generator/batch.go
+++ b/internal/standin/generator/batch.go
@@ -177,7 +177,7 @@
 		// The last token of a prompt is always computed: it yields the first
 		// token of the answer.
 		j.todo = max(1, j.PromptTokens+j.From-cached)
-		b.totals.Cached += int64(min(cached, j.PromptTokens))
+		b.totals.Cached += int64(j.PromptTokens + j.From - j.todo)
 		b.waiting = b.waiting[1:]
 		b.running = append(b.running, j)
 	}
