List every fault of a configuration, each with its field and line

Cause: strict decoding of a whole object stops at its first wrong field, and a set with any such field was not checked further; an instant that cannot be read was left at zero without an error, so that "by: tomorrow" read as missing.

Ruled out: decoding without strictness and comparing field names afterwards, which loses the line of nested fields.

Before: one decode fault an object and none of the later checks.

Conclusion: bad configuration and settings give clear errors, all at once.

--- a/cmd/pomelotiller/check.go
+++ b/cmd/pomelotiller/check.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 
 	"github.com/spf13/cobra"
 
 	"pomelotiller/internal/config/checker"
-	"pomelotiller/internal/config/loader"
 )
 
 // checkVerb returns the verb that checks a configuration without a daemon.
@@ -26,7 +24,7 @@
 			}
 			set, err := checker.Check(text)
 			if err != nil {
-				return describeFaults(args[0], err)
+				return fmt.Errorf("%s: %w", args[0], err)
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: %d organisations, %d pools, %d versions, %d routes, %d moves: in order\n", args[0],
 				len(set.Organisations), len(set.Pools), len(set.Versions), len(set.Routes), len(set.Moves))
@@ -34,11 +32,3 @@
 		}).run,
 	}
 }
-
-func describeFaults(path string, err error) error {
-	var faults *loader.FaultsError
-	if !errors.As(err, &faults) {
-		return fmt.Errorf("%s: %w", path, err)
-	}
-	return fmt.Errorf("%s: %w", path, &refusedError{answer: faultAnswer(faults)})
-}
--- a/cmd/pomelotiller/get.go
+++ b/cmd/pomelotiller/get.go
@@ -7,6 +7,12 @@
 	"github.com/spf13/cobra"
 )
 
+// configuration is what the get verb shows.
+type configuration struct {
+	Generation string `json:"generation"`
+	Text       string `json:"text"`
+}
+
 // getVerb returns the verb that reads the configuration in force.
 func getVerb() *cobra.Command {
 	var f operatorFlags
@@ -20,8 +26,8 @@
 			if err != nil {
 				return err
 			}
-			_, err = cmd.OutOrStdout().Write(a.body)
-			return err
+			c := configuration{Generation: a.etag, Text: string(a.body)}
+			return f.printText(cmd.OutOrStdout(), c, c.Text)
 		}).run,
 	}
 	f.register(cmd)
--- a/cmd/pomelotiller/operator.go
+++ b/cmd/pomelotiller/operator.go
@@ -13,6 +13,7 @@
 
 	"github.com/spf13/cobra"
 
+	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/daemon/informer"
 )
 
@@ -44,15 +45,10 @@
 
 // Error lists the faults of a configuration, one a line.
 func (e *refusedError) Error() string {
-	if len(e.answer.Faults) == 0 {
-		return e.answer.Error
+	if len(e.answer.Faults) > 0 {
+		return (&loader.FaultsError{Faults: e.answer.Faults}).Error()
 	}
-	var b strings.Builder
-	fmt.Fprintf(&b, "%d faults", len(e.answer.Faults))
-	for _, f := range e.answer.Faults {
-		b.WriteString("\n  " + f.String())
-	}
-	return b.String()
+	return e.answer.Error
 }
 
 // call asks the daemon, and turns a refusal into a *refusedError.
@@ -105,6 +101,15 @@
 	return fmt.Errorf("output %q is not one of table, json", f.output)
 }
 
+// printText writes v as JSON, or a text as it is.
+func (f *operatorFlags) printText(w io.Writer, v any, text string) error {
+	if f.output == "json" {
+		return f.print(w, v, "", nil)
+	}
+	_, err := io.WriteString(w, text)
+	return err
+}
+
 // read asks for a JSON document.
 func read[T any](ctx context.Context, f *operatorFlags, path string) (T, error) {
 	var v T
--- a/cmd/pomelotiller/publish.go
+++ b/cmd/pomelotiller/publish.go
@@ -10,7 +10,6 @@
 
 	"github.com/spf13/cobra"
 
-	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/daemon/informer"
 )
 
@@ -62,7 +61,3 @@
 	}
 	return err
 }
-
-func faultAnswer(e *loader.FaultsError) informer.Error {
-	return informer.Error{Error: "configuration has faults", Faults: e.Faults}
-}
--- a/internal/config/checker/checker.go
+++ b/internal/config/checker/checker.go
@@ -3,8 +3,12 @@
 package checker
 
 import (
+	"errors"
 	"fmt"
+	"math"
 	"regexp"
+	"slices"
+	"strings"
 
 	"pomelotiller/internal/config/loader"
 )
@@ -12,7 +16,10 @@
 const (
 	maxFirstShare = 5.0
 	wholeShare    = 100.0
-	maxSetBytes   = 1 << 20
+	// shareTolerance allows for the rounding of fractions when shares are added.
+	shareTolerance = 1e-6
+	// maxSetBytes keeps the record below the store's 1 MB, as it is stored in base64.
+	maxSetBytes = 700 << 10
 )
 
 var (
@@ -24,14 +31,18 @@
 func Check(text []byte) (loader.Set, error) {
 	if len(text) > maxSetBytes {
 		return loader.Set{}, &loader.FaultsError{Faults: []loader.Fault{{
-			Object: "set", Problem: fmt.Sprintf("is %d bytes long", len(text)), Want: "at most 1 MiB, the store's limit",
+			Object: "set", Problem: fmt.Sprintf("is %d bytes long", len(text)), Want: "at most 700 KiB",
 		}}}
 	}
 	doc, err := loader.Parse(text)
-	if err != nil {
+	c := &check{doc: doc}
+	var faults *loader.FaultsError
+	if errors.As(err, &faults) {
+		c.faults = faults.Faults
+	}
+	if c.unreadable() {
 		return loader.Set{}, err
 	}
-	c := &check{doc: doc}
 	c.names()
 	c.organisations()
 	c.pools()
@@ -49,7 +60,19 @@
 	faults []loader.Fault
 }
 
+// unreadable reports whether the text holds no objects to check.
+func (c *check) unreadable() bool {
+	s := c.doc.Set
+	return len(c.faults) > 0 && len(s.Organisations)+len(s.Pools)+len(s.Versions)+len(s.Routes)+len(s.Moves) == 0
+}
+
+// add notes a fault, unless the field could not even be decoded.
 func (c *check) add(object, field, want, problem string, args ...any) {
+	if slices.ContainsFunc(c.faults, func(f loader.Fault) bool {
+		return f.Object == object && (f.Field == field || strings.HasPrefix(f.Field, field+"."))
+	}) {
+		return
+	}
 	c.faults = append(c.faults, loader.Fault{
 		Object: object, Field: field, Line: c.doc.Line(object, field),
 		Problem: fmt.Sprintf(problem, args...), Want: want,
@@ -174,7 +197,7 @@
 		}
 		sum += s.Share
 	}
-	if sum != wholeShare {
+	if math.Abs(sum-wholeShare) > shareTolerance {
 		c.add(object, "versions", "shares that add up to 100", "shares add up to %g", sum)
 	}
 }
@@ -191,16 +214,25 @@
 			c.add(object, "from", "a version that the route serves", "version %q is not served by route %q", m.From, m.Route)
 		}
 		moving[m.Route] = m.Name
-		if _, ok := c.doc.Set.Version(m.To); !ok {
-			c.add(object, "to", "the name of a version", "version %q does not exist", m.To)
-		}
-		if m.From == m.To {
-			c.add(object, "to", "another version than from", "is the version it moves from")
-		}
+		c.moveTarget(object, m)
 		c.moveBounds(object, m)
 	}
 }
 
+func (c *check) moveTarget(object string, m loader.Move) {
+	to, ok := c.doc.Set.Version(m.To)
+	if !ok {
+		c.add(object, "to", "the name of a version", "version %q does not exist", m.To)
+		return
+	}
+	if r, ok := c.doc.Set.Route(m.Route); ok && r.Kind == loader.KindModel && to.Model == "" {
+		c.add(object, "to", "a version with a model", "version %q has no model", m.To)
+	}
+	if m.From == m.To {
+		c.add(object, "to", "another version than from", "is the version it moves from")
+	}
+}
+
 func (c *check) moveBounds(object string, m loader.Move) {
 	if m.By.IsZero() {
 		c.add(object, "by", "an instant such as 2026-12-04T06:00:00Z", "is missing")
--- a/internal/config/loader/document.go
+++ b/internal/config/loader/document.go
@@ -1,11 +1,11 @@
 package loader
 
 import (
-	"errors"
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 
-	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 )
@@ -44,13 +44,15 @@
 	Faults []Fault
 }
 
-// Error implements error.
+// Error lists the faults, one a line, in the order of their lines.
 func (e *FaultsError) Error() string {
-	lines := make([]string, len(e.Faults))
-	for i, f := range e.Faults {
-		lines[i] = f.String()
+	sorted := slices.SortedStableFunc(slices.Values(e.Faults), func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
+	var b strings.Builder
+	fmt.Fprintf(&b, "faults: %d", len(sorted))
+	for _, f := range sorted {
+		b.WriteString("\n  " + f.String())
 	}
-	return strings.Join(lines, "\n")
+	return b.String()
 }
 
 // Document is a decoded set with the line of each object and field.
@@ -71,37 +73,34 @@
 // section decodes the objects of one section into the set.
 type section struct {
 	name   string
-	decode func(*Set, ast.Node) (string, error)
+	decode func(*Set, ast.Node) (string, []Fault)
 }
 
 var sections = []section{
-	{"organisations", func(s *Set, n ast.Node) (string, error) {
-		o, err := decodeStrict[Organisation](n)
-		s.Organisations = append(s.Organisations, o)
-		return o.Name, err
+	{"organisations", func(s *Set, n ast.Node) (string, []Fault) {
+		return decodeInto(&s.Organisations, n, func(o Organisation) string { return o.Name })
 	}},
-	{"pools", func(s *Set, n ast.Node) (string, error) {
-		p, err := decodeStrict[Pool](n)
-		s.Pools = append(s.Pools, p)
-		return p.Name, err
+	{"pools", func(s *Set, n ast.Node) (string, []Fault) {
+		return decodeInto(&s.Pools, n, func(p Pool) string { return p.Name })
 	}},
-	{"versions", func(s *Set, n ast.Node) (string, error) {
-		v, err := decodeStrict[Version](n)
-		s.Versions = append(s.Versions, v)
-		return v.Name, err
+	{"versions", func(s *Set, n ast.Node) (string, []Fault) {
+		return decodeInto(&s.Versions, n, func(v Version) string { return v.Name })
 	}},
-	{"routes", func(s *Set, n ast.Node) (string, error) {
-		r, err := decodeStrict[Route](n)
-		s.Routes = append(s.Routes, r)
-		return r.Name, err
+	{"routes", func(s *Set, n ast.Node) (string, []Fault) {
+		return decodeInto(&s.Routes, n, func(r Route) string { return r.Name })
 	}},
-	{"moves", func(s *Set, n ast.Node) (string, error) {
-		m, err := decodeStrict[Move](n)
-		s.Moves = append(s.Moves, m)
-		return m.Name, err
+	{"moves", func(s *Set, n ast.Node) (string, []Fault) {
+		return decodeInto(&s.Moves, n, func(m Move) string { return m.Name })
 	}},
 }
 
+func decodeInto[T any](all *[]T, n ast.Node, nameOf func(T) string) (string, []Fault) {
+	var v T
+	faults := decodeFields(n, &v)
+	*all = append(*all, v)
+	return nameOf(v), faults
+}
+
 // Parse decodes a configuration. It goes on after a fault, and returns all it
 // finds as a *FaultsError.
 func Parse(text []byte) (Document, error) {
@@ -154,16 +153,16 @@
 }
 
 func (d *Document) parseObject(s section, i int, n ast.Node) []Fault {
-	name, err := s.decode(&d.Set, n)
+	name, faults := s.decode(&d.Set, n)
 	if name == "" {
 		name = fmt.Sprintf("#%d", i+1)
 	}
 	object := s.name + "/" + name
 	d.recordLines(object, n)
-	if err != nil {
-		return []Fault{syntaxFault(object, err)}
+	for i := range faults {
+		faults[i].Object = object
 	}
-	return nil
+	return faults
 }
 
 func (d *Document) recordLines(object string, n ast.Node) {
@@ -179,24 +178,3 @@
 		d.lines[object+"."+it.Key().String()] = line
 	}
 }
-
-func decodeStrict[T any](n ast.Node) (T, error) {
-	var v T
-	err := yaml.NodeToValue(n, &v, yaml.Strict())
-	return v, err
-}
-
-func syntaxFault(object string, err error) Fault {
-	f := Fault{Object: object, Problem: err.Error()}
-	var ye yaml.Error
-	if errors.As(err, &ye) {
-		f.Problem = ye.GetMessage()
-		if t := ye.GetToken(); t != nil && t.Position != nil {
-			f.Line = t.Position.Line
-			if strings.HasPrefix(f.Problem, "unknown field") {
-				f.Field, f.Problem = t.Value, "is not a known field"
-			}
-		}
-	}
-	return f
-}
--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 
-	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/parser"
 )
 
 // Settings are the settings of one daemon.
@@ -61,11 +63,30 @@
 	if err != nil {
 		return Settings{}, fmt.Errorf("settings: %w", err)
 	}
+	return ParseSettings(b)
+}
+
+// ParseSettings decodes and checks the settings of a daemon. All faults come as
+// a *FaultsError.
+func ParseSettings(text []byte) (Settings, error) {
 	var s Settings
-	if err := yaml.UnmarshalWithOptions(b, &s, yaml.Strict()); err != nil {
-		return Settings{}, &FaultsError{Faults: []Fault{syntaxFault("settings", err)}}
+	file, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return s, &FaultsError{Faults: []Fault{syntaxFault("settings", err)}}
+	}
+	var faults []Fault
+	if len(file.Docs) > 0 && file.Docs[0].Body != nil {
+		faults = decodeFields(file.Docs[0].Body, &s)
+	}
+	for i := range faults {
+		faults[i].Object = "settings"
+	}
+	for _, f := range s.check() {
+		if !slices.ContainsFunc(faults, func(d Fault) bool { return d.Field == f.Field }) {
+			faults = append(faults, f)
+		}
 	}
-	if faults := s.check(); len(faults) > 0 {
+	if len(faults) > 0 {
 		return Settings{}, &FaultsError{Faults: faults}
 	}
 	return s, nil
@@ -88,5 +109,30 @@
 			faults = append(faults, Fault{Object: "settings", Field: f.field, Problem: "is missing", Want: f.want})
 		}
 	}
+	return append(faults, s.checkObservation()...)
+}
+
+func (s Settings) checkObservation() []Fault {
+	var faults []Fault
+	for _, f := range []struct {
+		field, value string
+		want         []string
+	}{
+		{"log.format", s.Log.Format, []string{"logfmt", "json"}},
+		{"log.level", s.Log.Level, []string{"debug", "info", "warn", "error"}},
+		{"trace.export", s.Trace.Export, []string{"off", "stdout", "otlp"}},
+	} {
+		if f.value != "" && !slices.Contains(f.want, f.value) {
+			faults = append(faults, Fault{
+				Object: "settings", Field: f.field, Problem: fmt.Sprintf("is %q", f.value),
+				Want: "one of " + strings.Join(f.want, ", "),
+			})
+		}
+	}
+	if s.Trace.Export == "otlp" && s.Trace.Address == "" {
+		faults = append(faults, Fault{
+			Object: "settings", Field: "trace.address", Problem: "is missing", Want: "the collector's address, as trace.export is otlp",
+		})
+	}
 	return faults
 }
--- a/internal/observe/meter/meter.go
+++ b/internal/observe/meter/meter.go
@@ -52,11 +52,28 @@
 	sort.Strings(names)
 	out := bufio.NewWriter(w)
 	defer out.Flush()
+	last := ""
 	for _, n := range names {
+		if name, _ := splitName(n); name != last {
+			fmt.Fprintf(out, "# TYPE %s%s %s\n", Prefix, name, typeOf(all[n]))
+			last = name
+		}
 		writeMetric(out, n, all[n])
 	}
 }
 
+// typeOf returns the type of a metric in the Prometheus text form.
+func typeOf(m any) string {
+	switch m.(type) {
+	case metrics.Counter:
+		return "counter"
+	case metrics.Timer, metrics.Histogram:
+		return "summary"
+	default:
+		return "gauge"
+	}
+}
+
 func writeMetric(w io.Writer, key string, m any) {
 	name, labels := splitName(key)
 	switch m := m.(type) {
