--- a/internal/daemon/verifier/harness_test.go
+++ b/internal/daemon/verifier/harness_test.go
@@ -75,7 +75,7 @@
 	return p.out.String()
 }
 
-func (p *process) signal(t *testing.T, s syscall.Signal) {
+func (p *process) signal(t testing.TB, s syscall.Signal) {
 	t.Helper()
 	if err := p.cmd.Process.Signal(s); err != nil {
 		t.Fatalf("signal %s: %v", p.name, err)
@@ -83,7 +83,7 @@
 }
 
 // wait returns the exit code of the process.
-func (p *process) wait(t *testing.T) int {
+func (p *process) wait(t testing.TB) int {
 	t.Helper()
 	select {
 	case <-p.done:
@@ -94,7 +94,7 @@
 	}
 }
 
-func start(t *testing.T, name, program string, stdout io.Writer, args ...string) *process {
+func start(t testing.TB, name, program string, stdout io.Writer, args ...string) *process {
 	t.Helper()
 	p := &process{name: name, done: make(chan struct{})}
 	p.cmd = exec.Command(filepath.Join(binaries, program), args...)
@@ -122,7 +122,7 @@
 }
 
 // standin starts a stand-in and returns its address.
-func standin(t *testing.T, args ...string) (*process, string) {
+func standin(t testing.TB, args ...string) (*process, string) {
 	t.Helper()
 	r, w := io.Pipe()
 	p := start(t, strings.Join(args, " "), "standin", w, args...)
@@ -136,7 +136,7 @@
 
 // cluster is a platform with daemons and endpoints.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	platform  *process
 	address   string
 	authority *certifier.Authority
@@ -157,7 +157,7 @@
 
 // newCluster starts a platform; storeLink, if set, stands between it and the
 // daemons.
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
 	t.Helper()
 	dir := t.TempDir()
 	a, err := certifier.New(dir)
@@ -253,7 +253,7 @@
 }
 
 // awaitAddresses reads the addresses from the line that says the daemon serves.
-func (d *daemon) awaitAddresses(t *testing.T) {
+func (d *daemon) awaitAddresses(t testing.TB) {
 	t.Helper()
 	eventually(t, startTimeout, d.name+" serves", func() bool {
 		for line := range strings.Lines(d.output()) {
@@ -353,7 +353,7 @@
 
 // call sends a request as the test's organisation and fails unless it gets an
 // answer with a status below 300.
-func call(t *testing.T, method, url string, body []byte, header http.Header) []byte {
+func call(t testing.TB, method, url string, body []byte, header http.Header) []byte {
 	t.Helper()
 	status, b := request(t, method, url, body, header)
 	if status >= http.StatusMultipleChoices {
@@ -362,7 +362,7 @@
 	return b
 }
 
-func request(t *testing.T, method, url string, body []byte, header http.Header) (int, []byte) {
+func request(t testing.TB, method, url string, body []byte, header http.Header) (int, []byte) {
 	t.Helper()
 	status, b, err := tryRequest(method, url, body, header)
 	if err != nil {
@@ -391,7 +391,7 @@
 	return res.StatusCode, b, err
 }
 
-func getJSON[T any](t *testing.T, address, path string) T {
+func getJSON[T any](t testing.TB, address, path string) T {
 	t.Helper()
 	var v T
 	if err := json.Unmarshal(call(t, http.MethodGet, "http://"+address+path, nil, nil), &v); err != nil {
@@ -401,7 +401,7 @@
 }
 
 // eventually waits until a condition holds.
-func eventually(t *testing.T, limit time.Duration, what string, holds func() bool) {
+func eventually(t testing.TB, limit time.Duration, what string, holds func() bool) {
 	t.Helper()
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(pollPeriod) {
 		if holds() {
--- a/internal/daemon/verifier/path_test.go
+++ b/internal/daemon/verifier/path_test.go
@@ -84,7 +84,7 @@
 
 // today starts three daemons in three failure domains, four engines and two
 // services, and publishes a configuration.
-func today(t *testing.T, engineArgs ...string) *cluster {
+func today(t testing.TB, engineArgs ...string) *cluster {
 	t.Helper()
 	c := newCluster(t)
 	args := append([]string{"--versions", "chat-v1"}, engineArgs...)
