Carry each completion to its end or refuse it truthfully

Cause: on the thin path a table of faulty answers and fault moments showed that a 4xx of the engine was tried on all engines, that a redirect to a closed port counted as not run though the first engine had the body, that a deadline passed while dialling gave no refusal, that six breaks over one answer or one second without an engine ended a stream, that a request whose pooled connections were all silent waited until its deadline, that no answer carried prompt tokens, and that unknown fields of chunks were dropped.

Now the run state follows whether a connection was had, redirects are not followed, attempts are bounded by lack of progress in place of their number, a silence is answered by a status look-up and a resume over a fresh connection, pauses honour the context, and events are passed on as they came but for the model. A request on a leaving engine is moved with its cache.

The stand-in engine gains faults of answers by command, and cache export and import that count recomputed tokens.

--- a/internal/platform/inferrer/client.go
+++ b/internal/platform/inferrer/client.go
@@ -10,21 +10,28 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
 const (
 	maxErrorBytes  = 4 << 10
-	maxCacheBytes  = 256 << 20
+	maxReportBytes = 16 << 20
+	maxLineBytes   = 4 << 20
 	endMark        = "[DONE]"
-	dataPrefix     = "data: "
 	dialTimeout    = time.Second
 	idleConnsLimit = 64
 )
 
+var (
+	dataPrefix = []byte("data: ")
+	eventEnd   = []byte("}\n\n")
+)
+
 // ClientConfig configures a Client.
 type ClientConfig struct {
 	// Address is the host and port of the engine.
@@ -33,6 +40,8 @@
 	CallTimeout time.Duration
 	// HTTP is shared by the clients of one process; nil makes one.
 	HTTP *http.Client
+	// Fresh carries attempts that ask for a fresh connection; nil is HTTP.
+	Fresh *http.Client
 }
 
 // Client is an Engine over HTTP.
@@ -41,15 +50,28 @@
 }
 
 // NewHTTP returns the HTTP client that the engine clients of a process share.
-func NewHTTP() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: idleConnsLimit,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}}
+func NewHTTP() *http.Client { return newHTTP(false) }
+
+// NewFreshHTTP returns an HTTP client that opens a connection for each call.
+func NewFreshHTTP() *http.Client { return newHTTP(true) }
+
+func newHTTP(fresh bool) *http.Client {
+	return &http.Client{
+		// A redirected attempt would be sent twice.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}).DialContext,
+			MaxIdleConnsPerHost: idleConnsLimit,
+			IdleConnTimeout:     30 * time.Second,
+			DisableCompression:  true,
+			DisableKeepAlives:   fresh,
+		},
+	}
 }
 
+// keepAlive finds out in a few seconds that the path of a connection is gone.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
+
 // NewClient returns a client of the engine at cfg.Address.
 func NewClient(cfg ClientConfig) *Client {
 	if cfg.CallTimeout == 0 {
@@ -64,26 +86,25 @@
 // Start implements Engine.
 func (c *Client) Start(ctx context.Context, a Attempt) (Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	path := a.Path
-	if a.From > 0 {
-		path = fmt.Sprintf("/requests/%s/resume?from=%d", url.PathEscape(a.Request), a.From)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.cfg.Address+path, bytes.NewReader(a.Body))
+	var connected atomic.Bool
+	req, err := c.newAttempt(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}), a)
 	if err != nil {
 		cancel()
-		return nil, fmt.Errorf("start attempt: %w", err)
+		return nil, err
 	}
-	for k, v := range a.Header {
-		req.Header.Set(k, v)
+	client := c.cfg.HTTP
+	if a.Fresh && c.cfg.Fresh != nil {
+		client = c.cfg.Fresh
 	}
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(HeaderRequest, a.Request)
-	req.Header.Set(HeaderAttempt, strconv.Itoa(a.Number))
-	req.Header.Set(HeaderPriority, a.Priority)
-	res, err := c.cfg.HTTP.Do(req)
+	res, err := client.Do(req)
 	if err != nil {
 		cancel()
-		return nil, connectionError(err)
+		if !connected.Load() {
+			return nil, fmt.Errorf("%w: %w", ErrNotConnected, err)
+		}
+		return nil, err
 	}
 	if err := checkAnswer(res, a); err != nil {
 		res.Body.Close()
@@ -93,13 +114,23 @@
 	return &stream{cancel: cancel, body: res.Body, lines: bufio.NewReader(res.Body), request: a.Request}, nil
 }
 
-// connectionError marks a failure to connect, after which nothing was sent.
-func connectionError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return fmt.Errorf("%w: %w", ErrNotConnected, err)
+func (c *Client) newAttempt(ctx context.Context, a Attempt) (*http.Request, error) {
+	path := a.Path
+	if a.From > 0 {
+		path = fmt.Sprintf("/requests/%s/resume?from=%d", url.PathEscape(a.Request), a.From)
 	}
-	return err
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.cfg.Address+path, bytes.NewReader(a.Body))
+	if err != nil {
+		return nil, fmt.Errorf("start attempt: %w", err)
+	}
+	for k, v := range a.Header {
+		req.Header.Set(k, v)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(HeaderRequest, a.Request)
+	req.Header.Set(HeaderAttempt, strconv.Itoa(a.Number))
+	req.Header.Set(HeaderPriority, a.Priority)
+	return req, nil
 }
 
 func checkAnswer(res *http.Response, a Attempt) error {
@@ -142,19 +173,19 @@
 // Next implements Stream.
 func (s *stream) Next() (Chunk, error) {
 	for {
-		line, err := s.lines.ReadString('\n')
+		line, err := s.readLine()
 		if err != nil {
 			return Chunk{}, fmt.Errorf("%w: %w", ErrTruncated, err)
 		}
-		data, ok := strings.CutPrefix(strings.TrimSpace(line), dataPrefix)
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), dataPrefix)
 		if !ok {
 			continue
 		}
-		if data == endMark {
+		if string(data) == endMark {
 			return Chunk{}, io.EOF
 		}
-		var c Chunk
-		if err := json.Unmarshal([]byte(data), &c); err != nil {
+		c := Chunk{Raw: data}
+		if err := json.Unmarshal(data, &c); err != nil {
 			return Chunk{}, fmt.Errorf("%w: decode chunk: %w", ErrTruncated, err)
 		}
 		if c.ID != s.request {
@@ -164,6 +195,26 @@
 	}
 }
 
+// readLine returns the next line, valid until the next call.
+func (s *stream) readLine() ([]byte, error) {
+	line, err := s.lines.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, err
+	}
+	long := bytes.Clone(line)
+	for errors.Is(err, bufio.ErrBufferFull) && len(long) < maxLineBytes {
+		line, err = s.lines.ReadSlice('\n')
+		long = append(long, line...)
+	}
+	return long, err
+}
+
+// Ready implements Stream.
+func (s *stream) Ready() bool {
+	b, err := s.lines.Peek(s.lines.Buffered())
+	return err == nil && bytes.Contains(b, eventEnd)
+}
+
 // Close implements Stream.
 func (s *stream) Close() {
 	s.cancel()
@@ -195,41 +246,64 @@
 	if err != nil {
 		return fmt.Errorf("encode order: %w", err)
 	}
-	return c.call(ctx, http.MethodPost, "/orders", b, nil)
+	return c.call(ctx, http.MethodPost, "/orders", bytes.NewReader(b), nil)
 }
 
 // Export implements Engine.
-func (c *Client) Export(ctx context.Context, request string) ([]byte, error) {
-	var raw json.RawMessage
-	err := c.call(ctx, http.MethodGet, "/kv/"+url.PathEscape(request), nil, &raw)
-	return raw, err
+func (c *Client) Export(ctx context.Context, request string) (io.ReadCloser, error) {
+	return c.send(ctx, http.MethodGet, "/kv/"+url.PathEscape(request), nil)
 }
 
-// Import implements Engine.
-func (c *Client) Import(ctx context.Context, request string, cache []byte) error {
-	return c.call(ctx, http.MethodPut, "/kv/"+url.PathEscape(request), cache, nil)
+// Import implements Engine. It lasts as long as the cache takes to be sent;
+// ctx bounds it.
+func (c *Client) Import(ctx context.Context, request string, cache io.Reader) error {
+	body, err := c.send(ctx, http.MethodPut, "/kv/"+url.PathEscape(request), cache)
+	if err != nil {
+		return err
+	}
+	return body.Close()
 }
 
-func (c *Client) call(ctx context.Context, method, path string, in []byte, out any) error {
+// call makes a call that is not a completion.
+func (c *Client) call(ctx context.Context, method, path string, in io.Reader, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.cfg.Address+path, bytes.NewReader(in))
+	body, err := c.send(ctx, method, path, in)
 	if err != nil {
-		return fmt.Errorf("%s %s: %w", method, path, err)
-	}
-	res, err := c.cfg.HTTP.Do(req)
-	if err != nil {
-		return connectionError(err)
-	}
-	defer res.Body.Close()
-	if res.StatusCode >= http.StatusMultipleChoices {
-		return statusError(res)
+		return err
 	}
+	defer body.Close()
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxCacheBytes)).Decode(out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(body, maxReportBytes)).Decode(out); err != nil {
 		return fmt.Errorf("%s %s: decode answer: %w", method, path, err)
 	}
 	return nil
 }
+
+// send makes a call and returns the body of its answer.
+func (c *Client) send(ctx context.Context, method, path string, in io.Reader) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.cfg.Address+path, in)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	res, err := c.cfg.HTTP.Do(req)
+	if err != nil {
+		return nil, connectionError(err)
+	}
+	if res.StatusCode >= http.StatusMultipleChoices {
+		defer res.Body.Close()
+		return nil, statusError(res)
+	}
+	return res.Body, nil
+}
+
+// connectionError marks a failure to connect, after which nothing was sent.
+func connectionError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", ErrNotConnected, err)
+	}
+	return err
+}
--- a/internal/platform/inferrer/inferrer.go
+++ b/internal/platform/inferrer/inferrer.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"time"
 )
 
@@ -40,6 +41,13 @@
 	Prompt    string    `json:"prompt,omitempty"`
 	Stream    bool      `json:"stream,omitempty"`
 	MaxTokens int       `json:"max_tokens,omitempty"`
+	// StreamOptions says what a stream carries beside its tokens.
+	StreamOptions StreamOptions `json:"stream_options,omitzero"`
+}
+
+// StreamOptions says what a stream carries beside its tokens.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
 }
 
 // Text returns the text that the model continues.
@@ -70,6 +78,12 @@
 	Model   string   `json:"model"`
 	Token   int      `json:"token"`
 	Choices []Choice `json:"choices"`
+	// Usage is set on an event of its own, without choices, at the end of the
+	// answer.
+	Usage *Usage `json:"usage,omitempty"`
+	// Raw is the event as the engine sent it. It is valid until the stream's
+	// next call of Next.
+	Raw []byte `json:"-"`
 }
 
 // Choice is one alternative of an answer; engines give exactly one.
@@ -171,6 +185,8 @@
 	Priority string
 	// Header holds further headers, such as the trace context.
 	Header map[string]string
+	// Fresh asks for a connection that no earlier attempt has used.
+	Fresh bool
 }
 
 // Stream yields the chunks of one attempt in the order they arrive.
@@ -178,6 +194,8 @@
 	// Next returns the next chunk. It returns io.EOF after the engine's own
 	// end mark, and another error if the stream broke off before it.
 	Next() (Chunk, error)
+	// Ready reports whether Next has a further event at hand.
+	Ready() bool
 	// Close ends the stream and its connection.
 	Close()
 }
@@ -189,8 +207,9 @@
 	Load(ctx context.Context) (Load, error)
 	Events(ctx context.Context, from uint64) ([]Event, error)
 	Order(ctx context.Context, o Order) error
-	Export(ctx context.Context, request string) ([]byte, error)
-	Import(ctx context.Context, request string, cache []byte) error
+	// Export opens the cache of a request, which the caller must close.
+	Export(ctx context.Context, request string) (io.ReadCloser, error)
+	Import(ctx context.Context, request string, cache io.Reader) error
 }
 
 // Errors of an engine.
--- a/internal/standin/generator/generator.go
+++ b/internal/standin/generator/generator.go
@@ -52,6 +52,8 @@
 	leaving  bool
 	fence    uint64
 	served   map[string]int
+	answers  answerFaulter
+	caches   kvKeeper
 }
 
 // New returns an engine.
--- a/internal/standin/generator/handler.go
+++ b/internal/standin/generator/handler.go
@@ -28,7 +28,7 @@
 	r.Post("/orders", g.serveOrder)
 	r.Put("/leaving", func(http.ResponseWriter, *http.Request) { g.SetLeaving(true) })
 	r.Get("/served", func(w http.ResponseWriter, _ *http.Request) { reply(w, g.Served()) })
-	return r
+	return g.withFaults(g.withTransfer(r))
 }
 
 func reply(w http.ResponseWriter, v any) {
@@ -136,7 +136,7 @@
 			return
 		}
 	}
-	fmt.Fprint(w, "data: [DONE]\n\n")
+	writeEnd(w, id, p, prompt, max(n, from))
 }
 
 func chunk(id string, p inferrer.Prompt, prompt string, n int, last bool) inferrer.Chunk {
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -8,14 +8,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
-	"go.opentelemetry.io/otel/trace"
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/fleet/viewer"
@@ -28,13 +25,12 @@
 
 const (
 	defaultMaxAttempts = 6
-	retryDelay         = 20 * time.Millisecond
-	noEndpointRetry    = 2 * time.Second
-	// progressFactor bounds the silence of a stream in multiples of the
-	// latency target.
-	progressFactor     = 20
-	minProgressTimeout = 500 * time.Millisecond
-	cancelTimeout      = time.Second
+	// defaultPatience is how long an answer that has begun is kept waiting for
+	// an engine that can go on with it.
+	defaultPatience = 5 * time.Second
+	// maxRounds is the number of times that each engine is tried for an answer
+	// that has not begun.
+	maxRounds = 2
 )
 
 // Job is one completion to carry.
@@ -50,9 +46,12 @@
 	Priority loader.Priority
 }
 
-// Sink takes the chunks of an answer, in order and each once.
+// Sink takes the chunks of an answer, in order and each once. A chunk without
+// choices carries the usage.
 type Sink interface {
 	Chunk(c inferrer.Chunk) error
+	// Flush is called when no further chunk is at hand.
+	Flush() error
 }
 
 // Config configures a Relayer.
@@ -65,17 +64,32 @@
 	Domain string
 	// HTTP carries the attempts.
 	HTTP *http.Client
+	// Fresh carries attempts over connections of their own; nil makes one.
+	Fresh *http.Client
 	// Tracer starts a span for each attempt.
 	Tracer tracer.Tracer
 	// Registry receives counters.
 	Registry metrics.Registry
-	// MaxAttempts bounds the attempts of one request.
+	// Leaving, if set, is told of an engine that refuses work because it is
+	// leaving.
+	Leaving func(e viewer.Endpoint)
+	// Retry, if set, says whether another engine may be tried for an answer
+	// that has not begun.
+	Retry func() bool
+	// MaxAttempts bounds the attempts of a request that bring no new token.
 	MaxAttempts int
+	// Patience bounds the wait of an answer that has begun for an engine.
+	Patience time.Duration
 }
 
-// Relayer carries completions.
+// Relayer carries completions. All methods are safe for concurrent use.
 type Relayer struct {
-	cfg Config
+	cfg     Config
+	outages outages
+	moves   chan struct{}
+
+	mu      sync.Mutex
+	flights map[string]map[*flight]struct{}
 }
 
 // New returns a relayer.
@@ -83,168 +97,176 @@
 	if cfg.MaxAttempts == 0 {
 		cfg.MaxAttempts = defaultMaxAttempts
 	}
-	return &Relayer{cfg: cfg}
-}
-
-// progress is how far the answer to one job has come.
-type progress struct {
-	version string
-	// next is the number of the next token to pass on.
-	next     int
-	finished bool
-	run      refuser.RunState
-	exclude  map[string]bool
+	if cfg.Patience == 0 {
+		cfg.Patience = defaultPatience
+	}
+	if cfg.Fresh == nil {
+		cfg.Fresh = inferrer.NewFreshHTTP()
+	}
+	return &Relayer{cfg: cfg, moves: make(chan struct{}, maxMoves), flights: make(map[string]map[*flight]struct{})}
 }
 
 // Run carries a job until its answer is whole. It returns a *refuser.Refusal if
 // the answer cannot be had, and ctx's error if the caller is gone.
 func (r *Relayer) Run(ctx context.Context, job Job, sink Sink) error {
-	p := &progress{exclude: make(map[string]bool)}
-	var last error
-	for n := 1; n <= r.cfg.MaxAttempts; n++ {
-		choice, err := r.choose(job, p)
+	p := newProgress()
+	defer p.drop()
+	start := time.Now()
+	for n := 1; ; n++ {
+		choice, err := r.choose(ctx, job, p)
 		if err != nil {
-			last = errors.Join(last, err)
-			break
+			return r.refuse(ctx, job, p, errors.Join(p.last, err))
 		}
 		p.version = choice.Version
 		err = r.attempt(ctx, job, p, choice, n, sink)
 		choice.Release()
 		if err == nil {
+			r.outages.end(choice.Version, time.Since(start))
 			return nil
 		}
-		var sinkErr *sinkError
-		if ctx.Err() != nil || errors.As(err, &sinkErr) {
-			return fmt.Errorf("caller is gone: %w", err)
+		r.learn(job, p, choice, err)
+		if r.isFinal(ctx, p, err) {
+			return r.refuse(ctx, job, p, err)
 		}
-		last = err
-		p.exclude[choice.Endpoint.Name] = true
-		meter.Count(r.cfg.Registry, 1, "attempt_failures_total", "route", job.Route.Name, "version", choice.Version)
-		time.Sleep(retryDelay)
 	}
-	return r.refuse(job, p, last)
 }
 
-// choose picks an engine; when all have failed once, they may be tried again.
-func (r *Relayer) choose(job Job, p *progress) (router.Choice, error) {
-	q := router.Query{
-		Request: job.Request, Route: job.Route, Version: p.version,
-		Prompt: job.Prompt.Text(), Domain: r.cfg.Domain, Exclude: p.exclude,
+// learn notes a failed attempt, so that the next one goes elsewhere.
+func (r *Relayer) learn(job Job, p *progress, c router.Choice, err error) {
+	p.stall(err)
+	switch {
+	case errors.Is(err, errMoved):
+		p.exclude[c.Endpoint.Name] = true
+		return
+	case errors.Is(err, errSilent) && p.silences <= maxSilences:
+		// The connection may be dead and the engine alive: ask again there.
+	default:
+		p.exclude[c.Endpoint.Name] = true
 	}
-	c, err := r.cfg.Router.Choose(r.cfg.View(), q)
-	if errors.Is(err, router.ErrNoEndpoint) && len(p.exclude) > 0 {
-		clear(p.exclude)
-		return r.cfg.Router.Choose(r.cfg.View(), q)
+	p.fruitless++
+	meter.Count(r.cfg.Registry, 1, "attempt_failures_total", "route", job.Route.Name, "version", c.Version, "cause", causeOf(err))
+	if errors.Is(err, inferrer.ErrLeaving) && r.cfg.Leaving != nil {
+		r.cfg.Leaving(c.Endpoint)
 	}
-	return c, err
 }
 
-func (r *Relayer) refuse(job Job, p *progress, err error) error {
-	return &refuser.Refusal{
-		Status: http.StatusServiceUnavailable, Title: "unavailable", Run: p.run, RetryAfter: noEndpointRetry, Err: err,
-		Detail: fmt.Sprintf("no endpoint could answer for route %q", job.Route.Name),
+// causeOf names the cause of a failed attempt for the counters.
+func causeOf(err error) string {
+	for _, c := range []struct {
+		err  error
+		name string
+	}{
+		{inferrer.ErrLeaving, "leaving"},
+		{inferrer.ErrOverloaded, "overloaded"},
+		{inferrer.ErrNotLoaded, "not-loaded"},
+		{inferrer.ErrNotConnected, "not-connected"},
+		{inferrer.ErrCrossed, "crossed"},
+		{inferrer.ErrTruncated, "truncated"},
+		{errSilent, "silent"},
+	} {
+		if errors.Is(err, c.err) {
+			return c.name
+		}
 	}
+	return "other"
 }
 
-func (r *Relayer) attempt(ctx context.Context, job Job, p *progress, c router.Choice, n int, sink Sink) error {
-	ctx, span := r.cfg.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
-		attribute.String("endpoint", c.Endpoint.Name), attribute.String("version", c.Version), attribute.Int("attempt", n)))
-	defer span.End()
-	body, err := encodeBody(job, c.Version)
-	if err != nil {
-		return err
-	}
-	header := make(propagation.MapCarrier)
-	r.cfg.Tracer.Propagation.Inject(ctx, header)
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watch := startWatchdog(job.Route.Target.First.Std(), cancel)
-	defer watch.stop()
-	engine := inferrer.NewClient(inferrer.ClientConfig{Address: c.Endpoint.Address, HTTP: r.cfg.HTTP})
-	before := p.run
-	p.run = refuser.Unknown
-	s, err := engine.Start(ctx, inferrer.Attempt{
-		Request: job.Request, Number: n, Path: job.Path, Body: body, From: p.next,
-		Priority: string(job.Priority), Header: header,
-	})
-	if errors.Is(err, inferrer.ErrNotConnected) {
-		p.run = before
+// isFinal reports whether no further attempt may be made.
+func (r *Relayer) isFinal(ctx context.Context, p *progress, err error) bool {
+	var sinkErr *sinkError
+	switch {
+	case ctx.Err() != nil || errors.As(err, &sinkErr):
+		return true
+	case p.begun():
+		return p.waited() >= r.cfg.Patience
+	case rejectedStatus(err) != 0 || p.fruitless >= r.cfg.MaxAttempts:
+		return true
+	case errors.Is(err, errMoved):
+		return false
 	}
-	if err != nil {
-		span.RecordError(err)
-		return err
-	}
-	defer s.Close()
-	err = pass(s, p, sink, func() { watch.reset(job.Route.Target.Token.Std()) })
-	if err != nil {
-		span.RecordError(err)
-		cancelAttempt(engine, job.Request)
-	}
-	return err
+	return r.cfg.Retry != nil && !r.cfg.Retry()
 }
 
-// cancelAttempt tells an engine that nobody waits for its answer any more.
-func cancelAttempt(engine inferrer.Engine, request string) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-		defer cancel()
-		// An engine that cannot be reached notices the closed connection.
-		_ = engine.Cancel(ctx, request)
-	}()
+// rejectedStatus returns the status with which an engine refused a request that
+// every engine would refuse, or 0.
+func rejectedStatus(err error) int {
+	var e *inferrer.StatusError
+	if !errors.As(err, &e) || e.Status < http.StatusBadRequest || e.Status >= http.StatusInternalServerError {
+		return 0
+	}
+	switch e.Status {
+	case http.StatusNotFound, http.StatusRequestTimeout, http.StatusPreconditionFailed, http.StatusTooManyRequests:
+		return 0
+	}
+	return e.Status
 }
 
-// sinkError marks a failure to pass a chunk on to the caller.
-type sinkError struct{ err error }
-
-func (e *sinkError) Error() string { return e.err.Error() }
-func (e *sinkError) Unwrap() error { return e.err }
-
-// pass hands chunks from the stream to the sink until the end mark. Tokens that
-// were passed on before are skipped; a gap ends the attempt.
-func pass(s inferrer.Stream, p *progress, sink Sink, alive func()) error {
+// choose picks an engine. When all have failed, they are tried again: an answer
+// that has not begun once, one that has begun until the patience is over.
+func (r *Relayer) choose(ctx context.Context, job Job, p *progress) (router.Choice, error) {
+	if c, ok := p.take(); ok {
+		return c, nil
+	}
 	for {
-		c, err := s.Next()
-		if errors.Is(err, io.EOF) && p.finished {
-			return nil
-		}
-		if errors.Is(err, io.EOF) {
-			return fmt.Errorf("%w: end mark without a finish reason", inferrer.ErrTruncated)
-		}
-		if err != nil {
-			return err
+		c, err := r.route(job, p.version, p.exclude)
+		if err == nil || !errors.Is(err, router.ErrNoEndpoint) {
+			return c, err
 		}
-		alive()
-		if c.Token < p.next {
-			continue
+		p.round++
+		if p.begun() && p.waited() >= r.cfg.Patience || !p.begun() && (len(p.exclude) == 0 || p.round >= maxRounds) {
+			return c, err
 		}
-		if c.Token > p.next || p.finished || len(c.Choices) != 1 {
-			return fmt.Errorf("%w: got token %d, want %d", inferrer.ErrTruncated, c.Token, p.next)
-		}
-		if err := sink.Chunk(c); err != nil {
-			return &sinkError{err}
+		clear(p.exclude)
+		if err := pause(ctx, backoff(p.round)); err != nil {
+			return c, err
 		}
-		p.next++
-		p.finished = c.Choices[0].FinishReason != nil
-		p.run = refuser.Ran
 	}
 }
 
-// encodeBody returns the caller's request with the version as its model and
-// streaming switched on.
-func encodeBody(job Job, version string) ([]byte, error) {
-	fields := make(map[string]json.RawMessage, len(job.Fields)+1)
-	for k, v := range job.Fields {
-		fields[k] = v
+func (r *Relayer) route(job Job, version string, exclude map[string]bool) (router.Choice, error) {
+	return r.cfg.Router.Choose(r.cfg.View(), router.Query{
+		Request: job.Request, Route: job.Route, Version: version,
+		Prompt: job.Prompt.Text(), Domain: r.cfg.Domain, Exclude: exclude,
+	})
+}
+
+// routeTo chooses an engine that is known by name.
+func (r *Relayer) routeTo(job Job, version, endpoint string) (router.Choice, error) {
+	exclude := make(map[string]bool)
+	for _, e := range r.cfg.View().Endpoints {
+		exclude[e.Name] = e.Name != endpoint
+	}
+	return r.route(job, version, exclude)
+}
+
+// refuse returns the error that ends a job.
+func (r *Relayer) refuse(ctx context.Context, job Job, p *progress, err error) error {
+	var sinkErr *sinkError
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return &refuser.Refusal{
+			Status: http.StatusGatewayTimeout, Title: "deadline", Run: p.run, Err: err,
+			Detail: "the answer was not whole by the deadline",
+		}
+	case ctx.Err() != nil || errors.As(err, &sinkErr):
+		return fmt.Errorf("caller is gone: %w", err)
+	}
+	if status := rejectedStatus(err); status != 0 && !p.begun() {
+		return &refuser.Refusal{
+			Status: status, Title: "rejected", Run: p.run, Err: err,
+			Detail: fmt.Sprintf("the endpoint refused the request: %v", err),
+		}
 	}
-	model, err := json.Marshal(version)
-	if err != nil {
-		return nil, fmt.Errorf("encode request: %w", err)
+	refusal := &refuser.Refusal{
+		Status: http.StatusServiceUnavailable, Title: "unavailable", Run: p.run, Err: err,
+		RetryAfter: r.outages.rest(p.version),
+		Detail:     fmt.Sprintf("no endpoint could answer for route %q", job.Route.Name),
 	}
-	fields["model"] = model
-	fields["stream"] = json.RawMessage("true")
-	b, err := json.Marshal(fields)
-	if err != nil {
-		return nil, fmt.Errorf("encode request: %w", err)
+	if errors.Is(err, inferrer.ErrOverloaded) {
+		refusal.Title = "overloaded"
+		refusal.RetryAfter = r.outages.queue(r.cfg.View(), p.version)
+		refusal.Detail = fmt.Sprintf("all endpoints of route %q are at their limit", job.Route.Name)
 	}
-	return b, nil
+	meter.Count(r.cfg.Registry, 1, "completions_refused_total", "route", job.Route.Name, "title", refusal.Title)
+	return refusal
 }
--- /dev/null
+++ b/internal/traffic/relayer/relayer_test.go
@@ -0,0 +1,370 @@
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"pomelotiller/internal/config/loader"
+	"pomelotiller/internal/fleet/viewer"
+	"pomelotiller/internal/observe/tracer"
+	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/standin/faulter"
+	"pomelotiller/internal/standin/generator"
+	"pomelotiller/internal/traffic/refuser"
+	"pomelotiller/internal/traffic/router"
+)
+
+const (
+	testVersion = "chat-v1"
+	testPrompt  = "tell me of the lamps"
+	testTokens  = 12
+	// paddingBytes is more than a request's header takes.
+	paddingBytes = 1000
+)
+
+// bench is a relayer before stand-in engines.
+type bench struct {
+	relayer *Relayer
+	engines []*generator.Generator
+	view    viewer.View
+	route   loader.Route
+}
+
+// newBench starts n engines with a token time of one millisecond.
+func newBench(t *testing.T, n int) *bench {
+	t.Helper()
+	b := &bench{route: loader.Route{
+		Name: "chat", Kind: loader.KindModel, Idempotent: true,
+		Versions: []loader.Share{{Version: testVersion, Share: 100}},
+		Target:   loader.Target{First: loader.Duration(100 * time.Millisecond), Token: loader.Duration(5 * time.Millisecond)},
+	}}
+	for range n {
+		g := generator.New(generator.Config{Versions: []string{testVersion}, TokenTime: time.Millisecond})
+		srv := httptest.NewServer(g.Handler())
+		t.Cleanup(srv.Close)
+		t.Cleanup(srv.CloseClientConnections)
+		b.engines = append(b.engines, g)
+		b.add(srv.Listener.Addr().String())
+	}
+	b.relayer = New(Config{
+		View: func() viewer.View { return b.view }, Router: router.New(router.Config{}),
+		HTTP: inferrer.NewHTTP(), Tracer: tracer.Off(), Registry: metrics.NewRegistry(),
+	})
+	return b
+}
+
+func (b *bench) add(address string) {
+	b.view = b.view.WithEndpoints(append(b.view.Endpoints, viewer.Endpoint{
+		Name: fmt.Sprintf("engine-%d", len(b.view.Endpoints)), Address: address,
+		State: viewer.StateAlive, Versions: []string{testVersion},
+	}))
+}
+
+func (b *bench) job(request string) Job {
+	return Job{
+		Request: request, Route: b.route, Path: inferrer.PathCompletion,
+		Prompt: inferrer.Prompt{Model: "chat", Prompt: testPrompt, MaxTokens: testTokens},
+		Fields: map[string]json.RawMessage{
+			"prompt": json.RawMessage(`"` + testPrompt + `"`), "max_tokens": json.RawMessage(fmt.Sprint(testTokens)),
+			"user": json.RawMessage(`"` + strings.Repeat("x", paddingBytes) + `"`),
+		},
+	}
+}
+
+// textSink collects the text of an answer.
+type textSink struct {
+	text  strings.Builder
+	usage *inferrer.Usage
+	// after, if set, is called after each token.
+	after func(n int)
+	n     int
+}
+
+func (s *textSink) Chunk(c inferrer.Chunk) error {
+	if c.Usage != nil {
+		s.usage = c.Usage
+	}
+	if len(c.Choices) == 0 {
+		return nil
+	}
+	s.text.WriteString(c.Choices[0].Text)
+	s.n++
+	if s.after != nil {
+		s.after(s.n)
+	}
+	return nil
+}
+
+func (s *textSink) Flush() error { return nil }
+
+// refusalOf runs a job that must be refused.
+func (b *bench) refusalOf(ctx context.Context, t *testing.T, sink Sink) *refuser.Refusal {
+	t.Helper()
+	err := b.relayer.Run(ctx, b.job("r"), sink)
+	var r *refuser.Refusal
+	if !errors.As(err, &r) {
+		t.Fatalf("got error %v, want a refusal", err)
+	}
+	return r
+}
+
+func TestFaultyAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		fault  generator.AnswerFault
+		after  int
+		status int
+	}{
+		{fault: generator.AnswerCrossed},
+		{fault: generator.AnswerLate},
+		{fault: generator.AnswerForeign},
+		{fault: generator.AnswerForeign, after: 4},
+		{fault: generator.AnswerDoubled},
+		{fault: generator.AnswerGap, after: 3},
+		{fault: generator.AnswerGarbled, after: 3},
+		{fault: generator.AnswerCut},
+		{fault: generator.AnswerCut, after: 5},
+		{fault: generator.AnswerShort, after: 5},
+		{fault: generator.AnswerNoMark},
+		{fault: generator.AnswerSilent},
+		{fault: generator.AnswerSilent, after: 5},
+		{fault: generator.AnswerSilent, after: testTokens},
+		{fault: generator.AnswerRefused, status: http.StatusInternalServerError},
+		{fault: generator.AnswerRefused, status: http.StatusTooManyRequests},
+		{fault: generator.AnswerRefused, status: http.StatusServiceUnavailable},
+		{fault: generator.AnswerRefused, status: http.StatusNotFound},
+	} {
+		t.Run(fmt.Sprintf("%s after %d %d", tc.fault, tc.after, tc.status), func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t, 2)
+			for _, g := range b.engines[:1] {
+				g.SetAnswerFaults(generator.AnswerFaults{Fault: tc.fault, After: tc.after, Status: tc.status})
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			var sink textSink
+			if err := b.relayer.Run(ctx, b.job("r"), &sink); err != nil {
+				t.Fatal(err)
+			}
+			if got, want := sink.text.String(), generator.Text(testVersion, testPrompt, testTokens); got != want {
+				t.Errorf("got text %q, want %q", got, want)
+			}
+		})
+	}
+}
+
+func TestRejectedRequest(t *testing.T) {
+	b := newBench(t, 2)
+	for _, g := range b.engines {
+		g.SetAnswerFaults(generator.AnswerFaults{Fault: generator.AnswerRefused, Status: http.StatusUnprocessableEntity, Count: 1})
+	}
+	r := b.refusalOf(t.Context(), t, &textSink{})
+	if r.Status != http.StatusUnprocessableEntity || r.Run != refuser.Unknown {
+		t.Errorf("got status %d, run %s; want 422, unknown", r.Status, r.Run)
+	}
+}
+
+func TestUsageOfEngine(t *testing.T) {
+	b := newBench(t, 1)
+	var sink textSink
+	if err := b.relayer.Run(t.Context(), b.job("r"), &sink); err != nil {
+		t.Fatal(err)
+	}
+	want := inferrer.Usage{PromptTokens: 5, CompletionTokens: testTokens, TotalTokens: 5 + testTokens}
+	if sink.usage == nil || *sink.usage != want {
+		t.Errorf("got usage %+v, want %+v", sink.usage, want)
+	}
+}
+
+// TestRunState goes through the moments at which a single endpoint can fail a
+// request before its first token.
+func TestRunState(t *testing.T) {
+	redirect := func(t *testing.T) string {
+		to := closedAddress(t)
+		srv := httptest.NewServer(http.RedirectHandler("http://"+to+"/x", http.StatusTemporaryRedirect))
+		t.Cleanup(srv.Close)
+		return srv.Listener.Addr().String()
+	}
+	hangUp := func(t *testing.T) string {
+		srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			panic(http.ErrAbortHandler)
+		}))
+		t.Cleanup(srv.Close)
+		return srv.Listener.Addr().String()
+	}
+	behind := func(mode faulter.Mode, bytes int64) func(t *testing.T) string {
+		return func(t *testing.T) string {
+			g := generator.New(generator.Config{Versions: []string{testVersion}})
+			srv := httptest.NewServer(g.Handler())
+			t.Cleanup(srv.Close)
+			l, err := faulter.Open(t.Context(), faulter.Config{Network: "tcp", Listen: "127.0.0.1:0", Target: srv.Listener.Addr().String()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			l.Set(faulter.Behaviour{Mode: mode, Bytes: bytes})
+			return l.Address()
+		}
+	}
+	for _, tc := range []struct {
+		name    string
+		address func(t *testing.T) string
+		want    refuser.RunState
+	}{
+		{"dial refused", closedAddress, refuser.NotRun},
+		{"connection cut at once", behind(faulter.ModeCut, 0), refuser.Unknown},
+		{"reset in header", behind(faulter.ModeReset, 10), refuser.Unknown},
+		{"reset in body", behind(faulter.ModeReset, paddingBytes), refuser.Unknown},
+		{"closed after body", hangUp, refuser.Unknown},
+		{"cut in answer header", behind(faulter.ModeTruncate, 10), refuser.Unknown},
+		{"nothing answered", behind(faulter.ModeBlackhole, 0), refuser.Unknown},
+		{"redirected to a closed port", redirect, refuser.Unknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t, 0)
+			b.add(tc.address(t))
+			r := b.refusalOf(t.Context(), t, &textSink{})
+			if r.Run != tc.want || r.RetryAfter <= 0 {
+				t.Errorf("got run %s, retry after %s; want %s and a retry", r.Run, r.RetryAfter, tc.want)
+			}
+		})
+	}
+	t.Run("no endpoint", func(t *testing.T) {
+		if r := newBench(t, 0).refusalOf(t.Context(), t, &textSink{}); r.Run != refuser.NotRun {
+			t.Errorf("got run %s, want not-run", r.Run)
+		}
+	})
+}
+
+// TestDeadlineWhileDialling has a deadline pass before a connection exists.
+func TestDeadlineWhileDialling(t *testing.T) {
+	b := newBench(t, 0)
+	b.add("127.0.0.1:1")
+	b.relayer.cfg.HTTP = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	r := b.refusalOf(ctx, t, &textSink{})
+	if r.Run != refuser.NotRun || r.Status != http.StatusGatewayTimeout {
+		t.Errorf("got status %d, run %s; want 504, not-run", r.Status, r.Run)
+	}
+}
+
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	return ln.Addr().String()
+}
+
+// TestRepeatedKills has the engine cut the answer after each few tokens, more
+// often than one request may fail in a row.
+func TestRepeatedKills(t *testing.T) {
+	b := newBench(t, 2)
+	for _, g := range b.engines {
+		g.SetAnswerFaults(generator.AnswerFaults{Fault: generator.AnswerCut, After: 1})
+	}
+	var sink textSink
+	if err := b.relayer.Run(t.Context(), b.job("r"), &sink); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := sink.text.String(), generator.Text(testVersion, testPrompt, testTokens); got != want {
+		t.Errorf("got text %q, want %q", got, want)
+	}
+}
+
+// TestGapInEndpoints has no endpoint left for a while in the middle of an
+// answer.
+func TestGapInEndpoints(t *testing.T) {
+	b := newBench(t, 1)
+	b.engines[0].SetAnswerFaults(generator.AnswerFaults{Fault: generator.AnswerCut, After: 4, Count: 1})
+	sink := textSink{after: func(n int) {
+		if n == 2 {
+			b.engines[0].SetLeaving(true)
+			time.AfterFunc(time.Second, func() { b.engines[0].SetLeaving(false) })
+		}
+	}}
+	if err := b.relayer.Run(t.Context(), b.job("r"), &sink); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := sink.text.String(), generator.Text(testVersion, testPrompt, testTokens); got != want {
+		t.Errorf("got text %q, want %q", got, want)
+	}
+}
+
+// TestCallerGone checks that the engine ends a stream that nobody reads.
+func TestCallerGone(t *testing.T) {
+	b := newBench(t, 1)
+	job := b.job("r")
+	job.Fields["max_tokens"] = json.RawMessage("100000")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	sink := textSink{after: func(n int) {
+		if n == 3 {
+			cancel()
+		}
+	}}
+	if err := b.relayer.Run(ctx, job, &sink); !errors.Is(err, context.Canceled) {
+		t.Errorf("got error %v, want context.Canceled", err)
+	}
+	for end := time.Now().Add(2 * time.Second); b.engines[0].Load().Running > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the engine still runs the request")
+		}
+	}
+}
+
+// TestSilentPool silences all pooled connections of the only endpoint; the
+// answer must come over a fresh one.
+func TestSilentPool(t *testing.T) {
+	b := newBench(t, 1)
+	l, err := faulter.Open(t.Context(), faulter.Config{Network: "tcp", Listen: "127.0.0.1:0", Target: b.view.Endpoints[0].Address})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.view.Endpoints[0].Address = l.Address()
+	for i := range 4 {
+		b.warm(t, 8)
+		l.Set(faulter.Behaviour{Mode: faulter.ModeSilent})
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		var sink textSink
+		if err := b.relayer.Run(ctx, b.job(fmt.Sprint("r", i)), &sink); err != nil {
+			t.Fatal(err)
+		}
+		cancel()
+		if got, want := sink.text.String(), generator.Text(testVersion, testPrompt, testTokens); got != want {
+			t.Errorf("got text %q, want %q", got, want)
+		}
+		l.Set(faulter.Behaviour{Mode: faulter.ModePass})
+	}
+}
+
+// warm runs n requests at once, so that as many connections are pooled.
+func (b *bench) warm(t *testing.T, n int) {
+	t.Helper()
+	done := make(chan error, n)
+	for i := range n {
+		go func() { done <- b.relayer.Run(t.Context(), b.job(fmt.Sprint("warm", i)), &textSink{}) }()
+	}
+	for range n {
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
