Spread a leaving endpoint by gossip and move its streams

Cause: a daemon that met an engine's refusal told nobody; with the host list 30 s late the others went on sending work (TestLeavingSeenByOne failed on the thin path after 20 s). Streams on an engine with notice stayed until it died: 8 streams each resumed with 100 tokens computed again (TestEngineReclaimed).

Now refusals, load reports and the list lead to one fact per endpoint, spread by gossip under the topic leaving and never taken back, and the streams move at once with their caches.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,9 +68,12 @@
 	control   *controller.Controller
 	watcher   *publisher.Watcher
 	prober    *prober.Prober
+	relayer   *relayer.Relayer
 	listener  *listener.Listener
 	informer  *informer.Informer
 	drain     chan struct{}
+	// leavings holds the keys of the endpoints known to be leaving.
+	leavings sync.Map
 	// ctx bounds the life of the control parts; end ends it.
 	ctx context.Context
 	end context.CancelFunc
@@ -124,7 +128,7 @@
 		Changed: d.membersChanged, Logger: d.logger, Registry: d.registry,
 	})
 	d.control = controller.New(controller.Config{
-		Holder: &d.holder, Lister: lister.NewClient(lister.ClientConfig{Address: s.Platform}),
+		Holder: &d.holder, Lister: leavingLister{lister.NewClient(lister.ClientConfig{Address: s.Platform}), d},
 		Adopted: d.adopted, Logger: d.logger, Registry: d.registry,
 	})
 	d.watcher = publisher.NewWatcher(publisher.WatcherConfig{
@@ -133,8 +137,9 @@
 	})
 	d.prober = prober.New(prober.Config{
 		Endpoints: func() []viewer.Endpoint { return d.holder.Load().Endpoints },
-		Report:    func(r []prober.Report) { d.control.SetReports(d.ctx, r) },
+		Report:    d.reported,
 	})
+	d.gossiper.Subscribe(leavingTopic, d.learnLeaving)
 	d.buildTraffic(store, fmt.Sprintf("%s/%d", s.Name, incarnation))
 }
 
@@ -142,11 +147,13 @@
 	s := d.settings
 	rt := router.New(router.Config{})
 	rec := recorder.New(recorder.Config{Store: store, Owner: owner})
+	d.relayer = relayer.New(relayer.Config{
+		View: d.holder.Load, Router: rt, Domain: s.Domain, HTTP: inferrer.NewHTTP(), Tracer: d.tracer, Registry: d.registry,
+		Leaving: d.refusedByLeaving,
+	})
 	d.listener = listener.New(listener.Config{
 		View: d.holder.Load, Admitter: admitter.New(), Recorder: rec, Tracer: d.tracer, Registry: d.registry,
-		Relayer: relayer.New(relayer.Config{
-			View: d.holder.Load, Router: rt, Domain: s.Domain, HTTP: inferrer.NewHTTP(), Tracer: d.tracer, Registry: d.registry,
-		}),
+		Relayer: d.relayer,
 		Runner: recorder.NewRunner(recorder.RunnerConfig{
 			Recorder: rec, Router: rt, View: d.holder.Load, Domain: s.Domain, Tracer: d.tracer, Registry: d.registry,
 		}),
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -45,6 +45,8 @@
 	LoseAnswers int `json:"lose_answers"`
 	// Delay is added to each call.
 	Delay time.Duration `json:"delay"`
+	// HostLag is how late the host list shows a change of a host.
+	HostLag time.Duration `json:"host_lag"`
 }
 
 // Calls counts the calls that the key-value service took. A watch that waits
@@ -68,6 +70,16 @@
 
 // SetHost adds or replaces a host of the list.
 func (k *Keeper) SetHost(h lister.Host) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if lag := k.faults.HostLag; lag > 0 {
+		time.AfterFunc(lag, func() { k.showHost(h) })
+		return
+	}
+	k.hosts[h.Name] = h
+}
+
+func (k *Keeper) showHost(h lister.Host) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.hosts[h.Name] = h
