--- a/internal/standin/generator/generator.go
+++ b/internal/standin/generator/generator.go
@@ -66,6 +66,8 @@
 	leaving  bool
 	fence    uint64
 	served   map[string]int
+	answers  answerFaulter
+	caches   kvKeeper
 	batch    *Batch
 	events   *Events
 	// looping is set while a goroutine runs the batch.
--- a/internal/standin/generator/handler.go
+++ b/internal/standin/generator/handler.go
@@ -30,7 +30,7 @@
 	r.Post("/orders", g.serveOrder)
 	r.Put("/leaving", func(http.ResponseWriter, *http.Request) { g.SetLeaving(true) })
 	r.Get("/served", func(w http.ResponseWriter, _ *http.Request) { reply(w, g.Served()) })
-	return r
+	return g.withFaults(g.withTransfer(r))
 }
 
 func reply(w http.ResponseWriter, v any) {
@@ -137,7 +137,7 @@
 	if from < n && !g.streamTokens(ctx, w, id, p, from, n, priority, wait, slow) {
 		return
 	}
-	fmt.Fprint(w, "data: [DONE]\n\n")
+	writeEnd(w, id, p, p.Text(), max(n, from))
 }
 
 // streamTokens writes tokens from to n as the batch yields them, and reports
