--- a/internal/daemon/verifier/idle_test.go
+++ b/internal/daemon/verifier/idle_test.go
@@ -2,41 +2,85 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"pomelotiller/internal/observe/meter"
+	"pomelotiller/internal/standin/keeper"
 )
 
 const (
-	idleTime = 5 * time.Second
+	// settleTime lets a fleet that has just started come to rest.
+	settleTime = 5 * time.Second
+	idleTime   = 10 * time.Second
 	// tickRate is the unit of processor time under /proc, a hundredth of a
 	// second on Linux.
 	tickRate = 100
 )
 
-// BenchmarkIdleDaemon reports what one of nine daemons costs while nothing asks
-// it for anything: time to ready, resident memory and processor time.
+// BenchmarkIdleDaemon reports what control costs one daemon of a fleet, and the
+// store, while nobody asks for anything.
 func BenchmarkIdleDaemon(b *testing.B) {
-	for range b.N {
-		c := newCluster(b)
-		var ready time.Duration
-		for i := range 9 {
-			began := time.Now()
-			c.daemon(fmt.Sprintf("entry-%d", i), []string{"portland", "worcester", "hartford"}[i%3], daemonOptions{})
-			ready = time.Since(began)
+	for _, n := range []int{3, 9, 27, 81} {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) {
+			for range b.N {
+				measureIdle(b, n)
+			}
+		})
+	}
+}
+
+func measureIdle(b *testing.B, n int) {
+	c := newCluster(b)
+	var ready time.Duration
+	for i := range n {
+		began := time.Now()
+		c.daemon(fmt.Sprintf("entry-%d", i), []string{"portland", "worcester", "hartford"}[i%3], daemonOptions{})
+		ready = time.Since(began)
+	}
+	c.publish(c.daemons[0], testSet())
+	c.awaitGeneration(1)
+	time.Sleep(settleTime)
+	d := c.daemons[n/2]
+	before, calls, sent := processorTime(b, d.cmd.Process.Pid), c.calls(), d.counter(b, "gossip_sent_bytes_total")
+	time.Sleep(idleTime)
+	used := processorTime(b, d.cmd.Process.Pid) - before
+	after := c.calls()
+	b.ReportMetric(float64(ready.Milliseconds()), "ms-to-serve")
+	b.ReportMetric(residentMB(b, d.cmd.Process.Pid), "MB-resident")
+	b.ReportMetric(100*used.Seconds()/idleTime.Seconds(), "%-of-a-core")
+	b.ReportMetric((d.counter(b, "gossip_sent_bytes_total")-sent)/idleTime.Seconds(), "B/s-gossip")
+	b.ReportMetric(float64(after.Reads-calls.Reads+after.Watches-calls.Watches)/idleTime.Seconds(), "store-reads/s")
+	b.ReportMetric(float64(after.Writes-calls.Writes)/idleTime.Seconds(), "store-writes/s")
+}
+
+// calls returns the calls that the store has taken.
+func (c *cluster) calls() keeper.Calls {
+	c.t.Helper()
+	return getJSON[keeper.Calls](c.t, c.address, "/calls")
+}
+
+// counter returns the value of one of the daemon's metrics, 0 if there is none.
+func (d *daemon) counter(t testing.TB, name string) float64 {
+	t.Helper()
+	var sum float64
+	for line := range strings.Lines(string(call(t, http.MethodGet, "http://"+d.operators+"/metrics", nil, nil))) {
+		rest, ok := strings.CutPrefix(line, meter.Prefix+name)
+		if !ok || rest[0] != ' ' && rest[0] != '{' {
+			continue
+		}
+		fields := strings.Fields(rest)
+		n, err := strconv.ParseFloat(fields[len(fields)-1], 64)
+		if err != nil {
+			t.Fatalf("metric %s: %v", line, err)
 		}
-		c.publish(c.daemons[0], testSet())
-		c.awaitGeneration(1)
-		d := c.daemons[4]
-		before := processorTime(b, d.cmd.Process.Pid)
-		time.Sleep(idleTime)
-		used := processorTime(b, d.cmd.Process.Pid) - before
-		b.ReportMetric(float64(ready.Milliseconds()), "ms-to-serve")
-		b.ReportMetric(residentMB(b, d.cmd.Process.Pid), "MB-resident")
-		b.ReportMetric(100*used.Seconds()/idleTime.Seconds(), "%-of-a-core")
+		sum += n
 	}
+	return sum
 }
 
 // processorTime reads the user and system time of a process.
