Bring configurations through store outages, silent connections and cuts

Cause, each seen in the new tests before it was mended: a restarted daemon did not hear its peers until their old connections to it timed out after 6 s (TestConfigurationFaults, 'daemon restarted during an outage'); a read over a pooled connection that is silent for good failed (TestStoreFaults, and a publish in 'failure domain cut off'); a daemon that took over a watch after a silent connection needed more than 4 s ('both watchers die').

Members whose process was replaced have their connections given up; a daemon that knows nobody exchanges with a seed at once; a call without an answer in time gives up idle connections and is sent again once where that does no harm; idle connections end after 5 s, a silent watch after 1.5 s.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -124,7 +124,7 @@
 	}
 	d.release.Store(&publisher.Release{})
 	d.gossiper = gossiper.New(gossiper.Config{
-		Self: self, Sender: d.messenger, Caller: d.messenger, Seeds: d.seeds,
+		Self: self, Sender: d.messenger, Caller: d.messenger, Seeds: d.seeds, Restarted: d.messenger.Forget,
 		Changed: d.membersChanged, Logger: d.logger, Registry: d.registry,
 	})
 	d.control = controller.New(controller.Config{
--- /dev/null
+++ b/internal/daemon/verifier/config_store_test.go
@@ -0,0 +1,44 @@
+package verifier
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"pomelotiller/internal/control/publisher"
+	"pomelotiller/internal/platform/storer"
+)
+
+// storedRelease reads the configuration that the store holds; it is empty if
+// there is none.
+func storedRelease(t testing.TB, w *network) publisher.Release {
+	t.Helper()
+	e, err := storer.NewClient(storer.ClientConfig{Address: w.address}).Get(t.Context(), publisher.Key)
+	if err != nil {
+		return publisher.Release{}
+	}
+	r, err := publisher.Decode(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// publishToStore writes a release past the daemons.
+func publishToStore(t testing.TB, w *network, generation uint64) {
+	t.Helper()
+	c := storer.NewClient(storer.ClientConfig{Address: w.address})
+	e, err := c.Get(t.Context(), publisher.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := json.Marshal(publisher.Release{
+		Generation: generation, Text: []byte(numberedSet(int(generation))), Published: time.Now(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Swap(t.Context(), storer.Write{Key: publisher.Key, Value: b, Expect: e.Revision}); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/daemon/verifier/harness_test.go
+++ b/internal/daemon/verifier/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -220,6 +221,8 @@
 type daemonOptions struct {
 	// platform stands in for the platform's address.
 	platform string
+	// peers is the address for other daemons; empty takes a free port.
+	peers string
 	// extra is appended to the settings.
 	extra string
 }
@@ -235,7 +238,7 @@
 	}
 	var s strings.Builder
 	fmt.Fprintf(&s, "name: %s\ndomain: %s\nplatform: %s\n", name, domain, o.platform)
-	s.WriteString("callers: 127.0.0.1:0\noperators: 127.0.0.1:0\npeers: 127.0.0.1:0\n")
+	fmt.Fprintf(&s, "callers: 127.0.0.1:0\noperators: 127.0.0.1:0\npeers: %s\n", cmp.Or(o.peers, "127.0.0.1:0"))
 	fmt.Fprintf(&s, "tls:\n  cert: %s\n  key: %s\n  ca: %s\nseeds:\n", f.Cert, f.Key, f.CA)
 	for _, seed := range c.seeds {
 		fmt.Fprintf(&s, "  - %s\n", seed)
--- a/internal/fleet/gossiper/exchange.go
+++ b/internal/fleet/gossiper/exchange.go
@@ -93,14 +93,18 @@
 }
 
 // choosePartner returns the neighbour to exchange with in this round, if it is
-// time. The caller holds the lock.
-func (g *Gossiper) choosePartner(now time.Time) string {
-	n := g.neighbours.addresses
+// time. A daemon that knows nobody asks one of its contacts at once. The caller
+// holds the lock.
+func (g *Gossiper) choosePartner(now time.Time, contacts []string) string {
+	from := g.neighbours.addresses
 	period := max(minExchange, time.Duration(len(g.members))*exchangePerMember)
-	if len(n) == 0 || now.Sub(g.exchanged) < period || !g.startExchange(now) {
+	if len(from) == 0 {
+		from, period = contacts, 0
+	}
+	if len(from) == 0 || now.Sub(g.exchanged) < period || !g.startExchange(now) {
 		return ""
 	}
-	return n[g.rand.IntN(len(n))]
+	return from[g.rand.IntN(len(from))]
 }
 
 // startExchange reports whether an exchange may start now; one runs at a time.
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -62,6 +62,9 @@
 	// Seeds returns peer addresses to start from, and to find daemons again
 	// from which this one was cut off.
 	Seeds func() []string
+	// Restarted is called with the address of a member whose process was
+	// replaced: connections to the former one are of no use. May be nil.
+	Restarted func(addr string)
 	// Changed is called after members or items have changed, without a lock.
 	// Changes in quick succession lead to one call.
 	Changed func()
@@ -91,6 +94,9 @@
 	setDefault(&cfg.GoneAfter, defaultGoneAfter)
 	setDefault(&cfg.ForgetAfter, defaultForgetAfter)
 	setDefault(&cfg.BytesRate, defaultBytesRate)
+	if cfg.Restarted == nil {
+		cfg.Restarted = func(string) {}
+	}
 	if cfg.Logger == nil {
 		cfg.Logger = log.NewNopLogger()
 	}
@@ -130,6 +136,7 @@
 	contacted  time.Time
 	exchanging bool
 	sending    map[string]bool
+	restarted  []string
 }
 
 // New returns a gossiper that sends nothing before Run.
@@ -231,14 +238,17 @@
 	targets, others := g.chooseTargets(now)
 	body := g.pack(now, len(targets))
 	header := g.packHeader(flagOnce)
-	partner := g.choosePartner(now)
-	changed := g.changed
-	g.changed = false
+	partner := g.choosePartner(now, others)
+	changed, restarted := g.changed, g.restarted
+	g.changed, g.restarted = false, nil
 	g.lastRound = now
 	g.mu.Unlock()
 	if changed && g.cfg.Changed != nil {
 		g.cfg.Changed()
 	}
+	for _, addr := range restarted {
+		g.cfg.Restarted(addr)
+	}
 	for _, addr := range targets {
 		g.send(ctx, addr, body)
 	}
--- a/internal/fleet/gossiper/member.go
+++ b/internal/fleet/gossiper/member.go
@@ -165,6 +165,7 @@
 	}
 	if next.Boot != old.Boot {
 		old.booted, old.direct, old.spread = now, false, false
+		g.restarted = append(g.restarted, next.Peers)
 	}
 	if next.State != old.State {
 		g.logState(r.Name, old.State.state(), next.State.state())
--- a/internal/fleet/gossiper/rumor.go
+++ b/internal/fleet/gossiper/rumor.go
@@ -200,7 +200,8 @@
 	g.count("gossip_received_bytes_total", len(body))
 	g.mu.Lock()
 	now := time.Now()
-	stranger := g.members[p.From.Name] == nil
+	known := g.members[p.From.Name]
+	stranger := known == nil || known.Boot != p.From.Boot
 	g.mergeRecord(p.From, now)
 	reply := g.hear(p, now)
 	deliveries := g.mergeAll(p.Members, p.Items, now)
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -342,6 +342,18 @@
 	return conn, nil
 }
 
+// Forget gives up the connection to an address, since the daemon that it led to
+// was replaced; the next message makes a new one.
+func (m *Messenger) Forget(addr string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c := m.conns[addr]; c != nil {
+		delete(m.conns, addr)
+		// The former peer is gone and takes no close.
+		_ = c.CloseWithError(0, "replaced")
+	}
+}
+
 func (m *Messenger) forget(addr string, conn *quic.Conn) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/platform/storer/client.go
+++ b/internal/platform/storer/client.go
@@ -18,10 +18,13 @@
 const (
 	defaultCallTimeout = 2 * time.Second
 	defaultWatchWait   = 2 * time.Second
-	watchSlack         = time.Second
-	firstRetryDelay    = 20 * time.Millisecond
-	maxRetryDelay      = 250 * time.Millisecond
-	maxAnswerBytes     = 64 << 20
+	watchSlack         = 500 * time.Millisecond
+	// idleTimeout is short, since a connection that nobody uses may have gone
+	// silent unnoticed.
+	idleTimeout     = 5 * time.Second
+	firstRetryDelay = 20 * time.Millisecond
+	maxRetryDelay   = 250 * time.Millisecond
+	maxAnswerBytes  = 64 << 20
 )
 
 // ClientConfig configures a Client.
@@ -54,7 +57,7 @@
 	if cfg.Attempts == 0 {
 		cfg.Attempts = 3
 	}
-	t := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
+	t := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: idleTimeout}
 	return &Client{cfg: cfg, http: &http.Client{Transport: t}}
 }
 
@@ -106,7 +109,7 @@
 
 func (c *Client) swapOnce(ctx context.Context, w Write) (Entry, error) {
 	var e Entry
-	status, err := c.call(ctx, http.MethodPost, "/kv", w, &e)
+	status, err := c.attempt(ctx, http.MethodPost, "/kv", w, &e)
 	if err != nil {
 		return Entry{}, err
 	}
@@ -133,6 +136,9 @@
 	q := fmt.Sprintf("/watch?prefix=%s&from=%d&wait=%s", url.QueryEscape(prefix), from, c.cfg.WatchWait)
 	var p Page
 	_, err := c.send(ctx, http.MethodGet, q, nil, &p)
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.http.CloseIdleConnections()
+	}
 	return p, err
 }
 
@@ -161,10 +167,27 @@
 	return err
 }
 
+// call sends a call that does no harm when it is repeated. One that gets no
+// answer in time is sent again, since its connection may be silent for good
+// while a new one works.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) (int, error) {
+	status, err := c.attempt(ctx, method, path, in, out)
+	if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
+		return c.attempt(ctx, method, path, in, out)
+	}
+	return status, err
+}
+
+// attempt sends a call once. If it gets no answer in time, the connections that
+// are idle are given up too: what silenced one may have silenced all.
+func (c *Client) attempt(ctx context.Context, method, path string, in, out any) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
-	return c.send(ctx, method, path, in, out)
+	status, err := c.send(ctx, method, path, in, out)
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.http.CloseIdleConnections()
+	}
+	return status, err
 }
 
 func (c *Client) send(ctx context.Context, method, path string, in, out any) (int, error) {
--- a/internal/standin/faulter/faulter.go
+++ b/internal/standin/faulter/faulter.go
@@ -45,6 +45,9 @@
 	Count int `json:"count,omitempty"`
 	// Loss is the share of datagrams dropped, from 0 to 1.
 	Loss float64 `json:"loss,omitempty"`
+	// Clients limits the behaviour of a UDP link to these addresses of
+	// clients; traffic of others passes. Empty means all.
+	Clients []string `json:"clients,omitempty"`
 }
 
 // Link forwards one TCP or UDP port to a target.
--- a/internal/standin/faulter/udp.go
+++ b/internal/standin/faulter/udp.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -54,7 +55,7 @@
 		if err != nil {
 			continue
 		}
-		r.pass(append([]byte(nil), buf[:n]...), func(b []byte) { _, _ = c.Write(b) })
+		r.pass(from, append([]byte(nil), buf[:n]...), func(b []byte) { _, _ = c.Write(b) })
 	}
 }
 
@@ -83,15 +84,18 @@
 			time.Sleep(time.Millisecond)
 			continue
 		}
-		r.pass(append([]byte(nil), buf[:n]...), func(b []byte) { _, _ = r.front.WriteToUDP(b, to) })
+		r.pass(to, append([]byte(nil), buf[:n]...), func(b []byte) { _, _ = r.front.WriteToUDP(b, to) })
 	}
 }
 
-// pass applies the link's behaviour to one datagram.
-func (r *relay) pass(b []byte, send func([]byte)) {
+// pass applies the link's behaviour to one datagram from or to a client.
+func (r *relay) pass(client *net.UDPAddr, b []byte, send func([]byte)) {
 	l := r.link
 	l.mu.Lock()
 	behaviour := l.b
+	if len(behaviour.Clients) > 0 && !slices.Contains(behaviour.Clients, client.String()) {
+		behaviour = Behaviour{Mode: ModePass}
+	}
 	lost := behaviour.Loss > 0 && l.rand.Float64() < behaviour.Loss
 	l.mu.Unlock()
 	if lost || behaviour.Mode != ModePass {
--- a/internal/standin/keeper/handler.go
+++ b/internal/standin/keeper/handler.go
@@ -14,8 +14,8 @@
 
 const expiryPeriod = 100 * time.Millisecond
 
-// Handler serves the platform's interfaces, and /faults, /calls, /save and
-// /restore for tests.
+// Handler serves the platform's interfaces, and /faults, /calls, /save,
+// /clear and /restore for tests.
 func (k *Keeper) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Group(func(r chi.Router) {
@@ -34,6 +34,7 @@
 	r.Put("/faults", k.serveFaults)
 	r.Get("/calls", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, k.Calls()) })
 	r.Post("/save", func(http.ResponseWriter, *http.Request) { k.Save() })
+	r.Post("/clear", func(http.ResponseWriter, *http.Request) { k.Clear() })
 	r.Post("/restore", func(http.ResponseWriter, *http.Request) { k.Restore() })
 	return r
 }
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -127,6 +127,16 @@
 	k.saved = savedState{revision: k.revision, entries: maps.Clone(k.entries)}
 }
 
+// Clear loses all entries and starts from revision 0, as a service does that is
+// restarted without its data.
+func (k *Keeper) Clear() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.revision = 0
+	k.entries = make(map[string]storer.Entry)
+	k.signal()
+}
+
 // Restore goes back to the entries and the revision of the last Save, as a
 // service does that is restarted from an old backup.
 func (k *Keeper) Restore() {
