--- /dev/null
+++ b/internal/traffic/relayer/outcome.go
@@ -0,0 +1,81 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/traffic/router"
+)
+
+// Outcome is how one attempt ended, as far as the version is to answer for it.
+type Outcome struct {
+	Route    string
+	Version  string
+	Endpoint string
+	// Attempt counts the attempts of the request, from 1.
+	Attempt int
+	// First is the time to the first token, and Token the mean time between
+	// tokens.
+	First time.Duration
+	Token time.Duration
+	// Tokens is the number of tokens that came, Limit the largest number that
+	// the caller asked for, or 0.
+	Tokens int
+	Limit  int
+	// Err is why the attempt failed, or nil.
+	Err error
+}
+
+// Outcomes takes the outcomes of attempts. It must not block.
+type Outcomes interface {
+	Observe(o Outcome)
+}
+
+// observation measures one attempt.
+type observation struct {
+	started, first, last time.Time
+	tokens               int
+}
+
+// token takes note of one token.
+func (o *observation) token() {
+	o.last = time.Now()
+	if o.tokens++; o.tokens == 1 {
+		o.first = o.last
+	}
+}
+
+// report hands the outcome of an attempt to the configured Outcomes, if any.
+// An attempt whose caller went away says nothing about the version.
+func (r *Relayer) report(ctx context.Context, job Job, c router.Choice, n int, o *observation, err error) {
+	var sinkErr *sinkError
+	if r.cfg.Outcomes == nil || ctx.Err() != nil || errors.As(err, &sinkErr) || !blamesVersion(err) {
+		return
+	}
+	out := Outcome{
+		Route: job.Route.Name, Version: c.Version, Endpoint: c.Endpoint.Name, Attempt: n,
+		Tokens: o.tokens, Limit: job.Prompt.MaxTokens, Err: err,
+	}
+	if o.tokens > 0 {
+		out.First = o.first.Sub(o.started)
+	}
+	if o.tokens > 1 {
+		out.Token = o.last.Sub(o.first) / time.Duration(o.tokens-1)
+	}
+	r.cfg.Outcomes.Observe(out)
+}
+
+// blamesVersion reports whether an error can be the fault of the version. An
+// engine that leaves, is overloaded or cannot be reached is not.
+func blamesVersion(err error) bool {
+	for _, other := range []error{
+		inferrer.ErrLeaving, inferrer.ErrOverloaded, inferrer.ErrNotConnected, inferrer.ErrNotLoaded,
+	} {
+		if errors.Is(err, other) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -71,6 +71,8 @@
 	Registry metrics.Registry
 	// MaxAttempts bounds the attempts of one request.
 	MaxAttempts int
+	// Outcomes takes the outcome of each attempt; nil takes none.
+	Outcomes Outcomes
 }
 
 // Relayer carries completions.
@@ -108,8 +110,10 @@
 			break
 		}
 		p.version = choice.Version
-		err = r.attempt(ctx, job, p, choice, n, sink)
+		seen := &observation{started: time.Now()}
+		err = r.attempt(ctx, job, p, choice, n, sink, seen)
 		choice.Release()
+		r.report(ctx, job, choice, n, seen, err)
 		if err == nil {
 			return nil
 		}
@@ -146,7 +150,7 @@
 	}
 }
 
-func (r *Relayer) attempt(ctx context.Context, job Job, p *progress, c router.Choice, n int, sink Sink) error {
+func (r *Relayer) attempt(ctx context.Context, job Job, p *progress, c router.Choice, n int, sink Sink, seen *observation) error {
 	ctx, span := r.cfg.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
 		attribute.String("endpoint", c.Endpoint.Name), attribute.String("version", c.Version), attribute.Int("attempt", n)))
 	defer span.End()
@@ -175,7 +179,10 @@
 		return err
 	}
 	defer s.Close()
-	err = pass(s, p, sink, func() { watch.reset(job.Route.Target.Token.Std()) })
+	err = pass(s, p, sink, func() {
+		seen.token()
+		watch.reset(job.Route.Target.Token.Std())
+	})
 	if err != nil {
 		span.RecordError(err)
 		cancelAttempt(engine, job.Request)
