--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -32,6 +32,9 @@
 	Holder *viewer.Holder
 	// Lister returns the hosts.
 	Lister lister.Lister
+	// Splits returns the shares that moves put in place of the routes' own in a
+	// configuration; nil puts none.
+	Splits func(loader.Set) map[string][]loader.Share
 	// Adopted is called with each release that came into force.
 	Adopted  func(publisher.Release)
 	Logger   log.Logger
@@ -55,7 +58,6 @@
 	reports map[string]report
 	members []viewer.Member
 	leaving map[string]bool
-	splits  map[string][]loader.Share
 }
 
 // report is the last load report of an endpoint.
@@ -123,10 +125,8 @@
 	c.send(ctx, leavingEvent(endpoint))
 }
 
-// SetSplits takes in the shares of moving routes.
-func (c *Controller) SetSplits(ctx context.Context, splits map[string][]loader.Share) {
-	c.send(ctx, splitsEvent(splits))
-}
+// Refresh publishes a new view with the splits now in force.
+func (c *Controller) Refresh(ctx context.Context) { c.send(ctx, refreshEvent{}) }
 
 func (c *Controller) send(ctx context.Context, e event) {
 	select {
@@ -141,7 +141,7 @@
 	reportsEvent []prober.Report
 	membersEvent []viewer.Member
 	leavingEvent string
-	splitsEvent  map[string][]loader.Share
+	refreshEvent struct{}
 )
 
 func (e releaseEvent) apply(c *Controller) {
@@ -208,7 +208,8 @@
 	c.leaving[string(e)] = true
 }
 
-func (e splitsEvent) apply(c *Controller) { c.splits = e }
+// apply changes nothing: each event is followed by a new view.
+func (refreshEvent) apply(*Controller) {}
 
 func (c *Controller) log(fields ...any) {
 	// A logger that fails has nowhere to say so.
@@ -219,8 +220,10 @@
 	v := viewer.View{}.
 		WithConfig(c.release.Generation, c.set).
 		WithEndpoints(c.endpoints()).
-		WithMembers(c.members).
-		WithSplits(c.splits)
+		WithMembers(c.members)
+	if c.cfg.Splits != nil {
+		v = v.WithSplits(c.cfg.Splits(c.set))
+	}
 	c.cfg.Holder.Store(v)
 }
 
--- a/internal/control/mover/fleet_test.go
+++ b/internal/control/mover/fleet_test.go
@@ -14,6 +14,7 @@
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/platform/inferrer"
 	"pomelotiller/internal/standin/memorizer"
+	"pomelotiller/internal/traffic/relayer"
 )
 
 const (
@@ -28,8 +29,8 @@
 	errors, first, token, short float64
 }
 
-func (b behaviour) observation(r *rand.Rand) Observation {
-	o := Observation{Attempt: 1, First: target / 2, Token: target / 2, Tokens: 10, Limit: 10}
+func (b behaviour) observation(r *rand.Rand) relayer.Outcome {
+	o := relayer.Outcome{Attempt: 1, First: target / 2, Token: target / 2, Tokens: 10, Limit: 10}
 	if r.Float64() < b.errors {
 		o.Err = errStatus
 	}
--- a/internal/control/mover/follower.go
+++ b/internal/control/mover/follower.go
@@ -16,6 +16,7 @@
 	"pomelotiller/internal/fleet/gossiper"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/traffic/relayer"
 )
 
 // Topics of gossip.
@@ -90,6 +91,8 @@
 
 func (f *follow) latched() bool { return f.latch.Run > 0 && f.latch.Run >= f.record.Run }
 
+var _ relayer.Outcomes = (*Follower)(nil)
+
 // NewFollower returns a follower that knows nothing yet.
 func NewFollower(cfg FollowerConfig) *Follower {
 	if cfg.Now == nil {
--- a/internal/control/mover/mover_test.go
+++ b/internal/control/mover/mover_test.go
@@ -8,6 +8,7 @@
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/traffic/relayer"
 )
 
 // TestGoodMoves runs 200 moves to versions that are as good as the old one,
@@ -275,7 +276,7 @@
 	f.until("ramping", 20*time.Second, f.isState(Ramping))
 	for _, n := range f.nodes {
 		for range 30 {
-			n.follower.Observe(Observation{
+			n.follower.Observe(relayer.Outcome{
 				Route: "chat", Version: "v2", Endpoint: "engine", Attempt: 1, Err: inferrer.ErrTruncated,
 			})
 		}
--- a/internal/control/mover/observer.go
+++ b/internal/control/mover/observer.go
@@ -12,6 +12,7 @@
 	"pomelotiller/internal/fleet/gossiper"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/traffic/relayer"
 )
 
 const (
@@ -42,26 +43,6 @@
 	defaultShortLimit = 0.2
 )
 
-// Observation is the outcome of one attempt.
-type Observation struct {
-	Route    string
-	Version  string
-	Endpoint string
-	// Attempt counts the attempts of the request, from 1; only the first says
-	// something new of the version.
-	Attempt int
-	// First is the time to the first token, and Token the mean time between
-	// tokens.
-	First time.Duration
-	Token time.Duration
-	// Tokens is the number of tokens that came, Limit the largest number that
-	// the caller asked for, or 0.
-	Tokens int
-	Limit  int
-	// Err is why the attempt failed, or nil.
-	Err error
-}
-
 // tally is what one daemon counted for one move.
 type tally struct {
 	Run    uint64 `cbor:"1,keyasint"`
@@ -113,8 +94,10 @@
 	return Pair{}
 }
 
-// Observe counts an outcome, and takes the move back if it is one too many.
-func (f *Follower) Observe(o Observation) {
+// Observe implements relayer.Outcomes: it counts the outcome of the first
+// attempt of a request, as further ones say nothing new of the version, and
+// takes the move back if it is one too many.
+func (f *Follower) Observe(o relayer.Outcome) {
 	if o.Attempt > 1 {
 		return
 	}
@@ -126,7 +109,7 @@
 	}
 }
 
-func (f *Follower) observe(set loader.Set, c loader.Move, o Observation) {
+func (f *Follower) observe(set loader.Set, c loader.Move, o relayer.Outcome) {
 	now := f.cfg.Now()
 	route, _ := set.Route(c.Route)
 	f.mu.Lock()
@@ -154,7 +137,7 @@
 
 // sameBreak reports whether an outcome is one more connection that broke with
 // an endpoint's death.
-func (f *follow) sameBreak(o Observation, now time.Time) bool {
+func (f *follow) sameBreak(o relayer.Outcome, now time.Time) bool {
 	var status *inferrer.StatusError
 	if o.Err == nil || errors.As(o.Err, &status) || errors.Is(o.Err, inferrer.ErrCrossed) {
 		return false
@@ -167,7 +150,7 @@
 	return false
 }
 
-func classify(o Observation, target loader.Target) Counts {
+func classify(o relayer.Outcome, target loader.Target) Counts {
 	c := Counts{Requests: 1}
 	if o.Err != nil {
 		c.Errors = 1
--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -69,6 +69,7 @@
 	prober    *prober.Prober
 	listener  *listener.Listener
 	informer  *informer.Informer
+	moves     moves
 	drain     chan struct{}
 	// ctx bounds the life of the control parts; end ends it.
 	ctx context.Context
@@ -123,7 +124,9 @@
 		Self: self, Sender: d.messenger, Seeds: func() []string { return s.Seeds },
 		Changed: d.membersChanged, Logger: d.logger, Registry: d.registry,
 	})
+	d.buildMoves(store)
 	d.control = controller.New(controller.Config{
+		Splits: d.moves.follower.Splits,
 		Holder: &d.holder, Lister: lister.NewClient(lister.ClientConfig{Address: s.Platform}),
 		Adopted: d.adopted, Logger: d.logger, Registry: d.registry,
 	})
@@ -146,6 +149,7 @@
 		View: d.holder.Load, Admitter: admitter.New(), Recorder: rec, Tracer: d.tracer, Registry: d.registry,
 		Relayer: relayer.New(relayer.Config{
 			View: d.holder.Load, Router: rt, Domain: s.Domain, HTTP: inferrer.NewHTTP(), Tracer: d.tracer, Registry: d.registry,
+			Outcomes: d.moves.follower,
 		}),
 		Runner: recorder.NewRunner(recorder.RunnerConfig{
 			Recorder: rec, Router: rt, View: d.holder.Load, Domain: s.Domain, Tracer: d.tracer, Registry: d.registry,
@@ -153,7 +157,7 @@
 	})
 	d.informer = informer.New(informer.Config{
 		View: d.holder.Load, Current: d.current, Publisher: publisher.New(publisher.Config{Store: store}),
-		Recorder: rec, Drain: d.Drain, Registry: d.registry,
+		Recorder: rec, Drain: d.Drain, Registry: d.registry, Moves: d.moves.follower,
 	})
 }
 
@@ -211,10 +215,10 @@
 	defer endServing()
 	defer d.end()
 	var g errgroup.Group
-	for _, f := range []func(context.Context) error{
+	for _, f := range append([]func(context.Context) error{
 		d.messenger.Run, d.gossiper.Run, d.control.Run, d.control.RunHosts,
 		d.watcher.RunStore, d.watcher.RunPeers, d.prober.Run, d.serveOperators,
-	} {
+	}, d.moves.runs()...) {
 		g.Go(func() error {
 			defer endServing()
 			return f(d.ctx)
--- /dev/null
+++ b/internal/daemon/assembler/moves.go
@@ -0,0 +1,51 @@
+package assembler
+
+import (
+	"context"
+
+	"pomelotiller/internal/config/loader"
+	"pomelotiller/internal/control/dutykeeper"
+	"pomelotiller/internal/control/mover"
+	"pomelotiller/internal/platform/storer"
+)
+
+// moves are the parts of a daemon that carry out moves.
+type moves struct {
+	follower *mover.Follower
+	mover    *mover.Mover
+	duties   *dutykeeper.Keeper
+}
+
+func (m moves) runs() []func(context.Context) error {
+	return []func(context.Context) error{m.follower.Run, m.follower.RunLoad, m.duties.Run, m.mover.Run}
+}
+
+func (d *Daemon) buildMoves(store storer.Store) {
+	s := d.settings
+	d.moves.follower = mover.NewFollower(mover.FollowerConfig{
+		Self: s.Name, Domain: s.Domain, Spreader: d.gossiper, Store: store, Logger: d.logger, Registry: d.registry,
+		Set:     func() loader.Set { return d.holder.Load().Set },
+		Members: func() int { return len(d.holder.Load().Members) },
+		Changed: func() { d.control.Refresh(d.ctx) },
+	})
+	d.moves.duties = dutykeeper.New(dutykeeper.Config{
+		Self: s.Name, Store: store, Members: d.gossiper.Members, Duties: d.duties, Logger: d.logger, Registry: d.registry,
+	})
+	d.moves.mover = mover.New(mover.Config{
+		Store: store, Follower: d.moves.follower, View: d.holder.Load, Held: d.held, Logger: d.logger, Registry: d.registry,
+	})
+}
+
+// duties returns the names of all duties that the configuration gives rise to.
+func (d *Daemon) duties() []string {
+	var names []string
+	for _, name := range d.moves.follower.Names(d.holder.Load().Set) {
+		names = append(names, mover.DutyPrefix+name)
+	}
+	return names
+}
+
+func (d *Daemon) held(duty string) (uint64, bool) {
+	g, ok := d.moves.duties.Held(duty)
+	return g.Epoch, ok
+}
--- a/internal/daemon/informer/informer.go
+++ b/internal/daemon/informer/informer.go
@@ -33,6 +33,7 @@
 	Current   func() publisher.Release
 	Publisher *publisher.Publisher
 	Recorder  *recorder.Recorder
+	Moves     Moves
 	// Drain starts a planned stop.
 	Drain    func()
 	Registry metrics.Registry
@@ -68,6 +69,7 @@
 	r.Post("/config/check", i.serveCheck)
 	r.Get("/members", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, i.cfg.View().Members) })
 	r.Get("/endpoints", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, i.cfg.View().Endpoints) })
+	r.Get("/moves", i.serveMoves)
 	r.Get("/orders/{id}", i.serveOrder)
 	r.Post("/drain", func(w http.ResponseWriter, _ *http.Request) {
 		i.cfg.Drain()
