--- a/internal/control/mover/follower.go
+++ b/internal/control/mover/follower.go
@@ -126,17 +126,15 @@
 }
 
 // RunLoad reads the records from the store once, as soon as it answers, for a
-// daemon that starts before its peers have told it.
+// daemon that starts before its peers have told it. It returns when ctx ends.
 func (f *Follower) RunLoad(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if f.load(ctx) == nil {
-			return nil
-		}
+	for ctx.Err() == nil && f.load(ctx) != nil {
 		select {
 		case <-ctx.Done():
 		case <-time.After(loadPeriod):
 		}
 	}
+	<-ctx.Done()
 	return nil
 }
 
--- a/internal/control/mover/mover.go
+++ b/internal/control/mover/mover.go
@@ -22,6 +22,8 @@
 
 // Config configures a Mover.
 type Config struct {
+	// Self is the daemon's name.
+	Self     string
 	Store    storer.Store
 	Follower *Follower
 	// Held returns the fencing number of a duty, and whether this daemon holds
@@ -170,7 +172,7 @@
 	if !ok {
 		return nil
 	}
-	next.Step, next.Epoch, next.Generation = s.record.Step+1, epoch, m.cfg.View().Generation
+	next.Step, next.Holder, next.Epoch, next.Generation = s.record.Step+1, m.cfg.Self, epoch, m.cfg.View().Generation
 	b, err := json.Marshal(next)
 	if err != nil {
 		return fmt.Errorf("encode move %q: %w", next.Name, err)
@@ -222,6 +224,7 @@
 	By     time.Time `json:"by"`
 	Reason string    `json:"reason,omitempty"`
 	Run    uint64    `json:"run"`
+	Holder string    `json:"holder"`
 	Epoch  uint64    `json:"epoch"`
 	Seen   Pair      `json:"seen"`
 }
@@ -233,7 +236,8 @@
 		r, l := f.Known(m.Name)
 		row := Row{Name: m.Name, Route: m.Route, From: m.From, To: m.To, State: Pending, By: m.By}
 		if r.belongsTo(m) && !r.Withdrawn {
-			row.State, row.Share, row.Reason, row.Run, row.Epoch = r.State, r.Share, r.Reason, r.Run, r.Epoch
+			row.State, row.Share, row.Reason, row.Run = r.State, r.Share, r.Reason, r.Run
+			row.Holder, row.Epoch = r.Holder, r.Epoch
 			row.Seen = f.Outcomes(m.Name)
 			if l.Run == r.Run && r.State != Reverted && !r.Released {
 				row.State, row.Share, row.Reason = Reverting, 0, l.Reason
--- a/internal/control/mover/observer.go
+++ b/internal/control/mover/observer.go
@@ -156,10 +156,10 @@
 		c.Errors = 1
 		return c
 	}
-	if o.First > target.First.Std() {
+	if target.First > 0 && o.First > target.First.Std() {
 		c.First = 1
 	}
-	if o.Token > target.Token.Std() {
+	if target.Token > 0 && o.Token > target.Token.Std() {
 		c.Token = 1
 	}
 	if float64(o.Tokens) < shortPart*float64(o.Limit) {
--- a/internal/control/mover/record.go
+++ b/internal/control/mover/record.go
@@ -58,9 +58,10 @@
 	Generation uint64 `json:"generation"`
 	// Step grows by one with each write.
 	Step uint64 `json:"step"`
-	// Epoch is the fencing number of the holder that wrote the record.
-	Epoch uint64 `json:"epoch"`
-	State State  `json:"state"`
+	// Holder is the daemon that wrote the record, Epoch its fencing number.
+	Holder string `json:"holder"`
+	Epoch  uint64 `json:"epoch"`
+	State  State  `json:"state"`
 	// Stage counts the shares of the ramp that were in force, from 0.
 	Stage int `json:"stage"`
 	// Share is the new version's part of the traffic, in percent.
--- a/internal/daemon/assembler/moves.go
+++ b/internal/daemon/assembler/moves.go
@@ -32,7 +32,7 @@
 		Self: s.Name, Store: store, Members: d.gossiper.Members, Duties: d.duties, Logger: d.logger, Registry: d.registry,
 	})
 	d.moves.mover = mover.New(mover.Config{
-		Store: store, Follower: d.moves.follower, View: d.holder.Load, Held: d.held, Logger: d.logger, Registry: d.registry,
+		Self: s.Name, Store: store, Follower: d.moves.follower, View: d.holder.Load, Held: d.held, Logger: d.logger, Registry: d.registry,
 	})
 }
 
