Retry a request at the old version when the new one fails

An answer that has not begun now goes on at the first version listed with a share, in a move the old one. Ruled out: the version with the largest share, which late in the ramp is the new one, and any other version, since a noisy old version would then send its failures to the canary.

--- a/internal/daemon/verifier/move_test.go
+++ b/internal/daemon/verifier/move_test.go
@@ -170,6 +170,9 @@
 	if !strings.Contains(r.Reason, "errors") {
 		t.Errorf("got reason %q, want the errors in it", r.Reason)
 	}
+	if got := m.failed.Load(); got > 0 {
+		t.Errorf("got %d of %d requests failed, want 0: the old version can answer", got, m.sent.Load())
+	}
 	t.Logf("%d attempts at the bad version, %d of %d requests failed; %s", touched, m.failed.Load(), m.sent.Load(), r.Reason)
 }
 
--- a/internal/traffic/relayer/outcome.go
+++ b/internal/traffic/relayer/outcome.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/platform/inferrer"
 	"pomelotiller/internal/traffic/router"
 )
@@ -79,3 +80,20 @@
 	}
 	return true
 }
+
+// nextVersion returns the version for the attempt after a failed one. An answer
+// that has begun stays with its version; one that has not goes to the first
+// version listed with a share, which in a move is the old one: a bad new version
+// costs its callers a retry and not the answer, and a noisy old one sends no
+// more traffic to the new.
+func nextVersion(shares []loader.Share, failed string, begun bool, err error) string {
+	if begun || !blamesVersion(err) {
+		return failed
+	}
+	for _, s := range shares {
+		if s.Share > 0 {
+			return s.Version
+		}
+	}
+	return failed
+}
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -122,6 +122,7 @@
 			return fmt.Errorf("caller is gone: %w", err)
 		}
 		last = err
+		p.version = nextVersion(r.cfg.View().Split(job.Route), choice.Version, p.next > 0, err)
 		p.exclude[choice.Endpoint.Name] = true
 		meter.Count(r.cfg.Registry, 1, "attempt_failures_total", "route", job.Route.Name, "version", choice.Version)
 		time.Sleep(retryDelay)
