Order engines to load what routes and moves want

Cause: a move to a version that no engine had could only be taken back, as nobody told engines to load it.

Orders are one duty a failure domain, its epoch the fencing number. For pools whose engines do not check it a new holder waits 2.5 s, longer than any order of the old one, then orders the whole wanted state once and each difference that an engine reports from then on. Loads begin when the weight store lets them (429 with Retry-After holds them back); a store that does not answer does not, since the engine fetches by itself. A version is unloaded only when a move has ended: the old one when it is no longer held, the new one a minute after it was taken back, for the answers that it has begun. Ruled out: unloading what the configuration does not name, since an engine may have been warmed by hand.

go test -race ./internal/control/orderer: two holders, one paused within an order; the engine ends in the new holder's state with and without fencing.

--- a/internal/daemon/assembler/moves.go
+++ b/internal/daemon/assembler/moves.go
@@ -6,6 +6,9 @@
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/control/dutykeeper"
 	"pomelotiller/internal/control/mover"
+	"pomelotiller/internal/control/orderer"
+	"pomelotiller/internal/platform/fetcher"
+	"pomelotiller/internal/platform/inferrer"
 	"pomelotiller/internal/platform/storer"
 )
 
@@ -14,10 +17,11 @@
 	follower *mover.Follower
 	mover    *mover.Mover
 	duties   *dutykeeper.Keeper
+	orderer  *orderer.Orderer
 }
 
 func (m moves) runs() []func(context.Context) error {
-	return []func(context.Context) error{m.follower.Run, m.follower.RunLoad, m.duties.Run, m.mover.Run}
+	return []func(context.Context) error{m.follower.Run, m.follower.RunLoad, m.duties.Run, m.mover.Run, m.orderer.Run}
 }
 
 func (d *Daemon) buildMoves(store storer.Store) {
@@ -34,12 +38,25 @@
 	d.moves.mover = mover.New(mover.Config{
 		Self: s.Name, Store: store, Follower: d.moves.follower, View: d.holder.Load, Held: d.held, Logger: d.logger, Registry: d.registry,
 	})
+	d.buildOrders()
+}
+
+func (d *Daemon) buildOrders() {
+	client := inferrer.NewHTTP()
+	d.moves.orderer = orderer.New(orderer.Config{
+		View: d.holder.Load, Wanted: d.moves.follower.Wanted, Held: d.moves.duties.Held,
+		Fetcher: fetcher.NewClient(fetcher.ClientConfig{Address: d.settings.Platform}), Logger: d.logger, Registry: d.registry,
+		Dial: func(address string) orderer.Engine {
+			return inferrer.NewClient(inferrer.ClientConfig{Address: address, HTTP: client})
+		},
+	})
 }
 
 // duties returns the names of all duties that the configuration gives rise to.
 func (d *Daemon) duties() []string {
-	var names []string
-	for _, name := range d.moves.follower.Names(d.holder.Load().Set) {
+	set := d.holder.Load().Set
+	names := orderer.Duties(set)
+	for _, name := range d.moves.follower.Names(set) {
 		names = append(names, mover.DutyPrefix+name)
 	}
 	return names
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -24,6 +24,7 @@
 	faults   Faults
 	calls    Calls
 	saved    savedState
+	weights  weights
 }
 
 type savedState struct {
