--- /dev/null
+++ b/internal/daemon/verifier/duty_test.go
@@ -0,0 +1,128 @@
+package verifier
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"pomelotiller/internal/control/dutykeeper"
+	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/standin/generator"
+	"pomelotiller/internal/standin/keeper"
+)
+
+// duty returns what the store holds of a duty.
+func (c *cluster) duty(name string) dutykeeper.Record {
+	c.t.Helper()
+	var r dutykeeper.Record
+	e, err := storer.NewClient(storer.ClientConfig{Address: c.address}).Get(c.t.Context(), dutykeeper.Prefix+name)
+	if err != nil {
+		return r
+	}
+	if err := json.Unmarshal(e.Value, &r); err != nil {
+		c.t.Fatal(err)
+	}
+	return r
+}
+
+func (c *cluster) named(name string) *daemon {
+	c.t.Helper()
+	i := slices.IndexFunc(c.daemons, func(d *daemon) bool { return d.name == name })
+	if i < 0 {
+		c.t.Fatalf("daemon %q does not exist", name)
+	}
+	return c.daemons[i]
+}
+
+// TestOrderHolderPaused stops the daemon that orders the engines of a failure
+// domain past its lease, just as a move wants a version loaded, and wakes it
+// once another has taken over.
+func TestOrderHolderPaused(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		t.Run(fmt.Sprintf("fencing %v", fencing), func(t *testing.T) {
+			t.Parallel()
+			c, engines := pausable(t, fencing)
+			eventually(t, startTimeout, "orders held", func() bool { return c.duty("orders/portland").Epoch > 0 })
+			before := c.duty("orders/portland")
+			holder := c.named(before.Holder)
+			other := c.daemons[(slices.Index(c.daemons, holder)+1)%len(c.daemons)]
+			holder.signal(t, syscall.SIGSTOP)
+			set := moveSet(time.Now().Add(time.Hour))
+			if fencing {
+				set = strings.ReplaceAll(set, "class: l4, price: 1", "class: l4, price: 1, fencing: true")
+			}
+			c.publish(other, set)
+			loaded := func() bool {
+				for _, g := range engines {
+					if !slices.Contains(g.Load().Versions, "chat-v2") {
+						return false
+					}
+				}
+				return true
+			}
+			eventually(t, startTimeout, "version loaded by the new holder", loaded)
+			after := c.duty("orders/portland")
+			if after.Epoch <= before.Epoch {
+				t.Errorf("got epoch %d after %d, want it to grow", after.Epoch, before.Epoch)
+			}
+			holder.signal(t, syscall.SIGCONT)
+			time.Sleep(2 * time.Second)
+			if !loaded() {
+				t.Error("version is not loaded any more after the old holder was woken")
+			}
+			if got := engines[0].Load().Fence; got < after.Epoch {
+				t.Errorf("got fencing number %d at the engine, want at least %d", got, after.Epoch)
+			}
+		})
+	}
+}
+
+// pausable starts three daemons and three engines with a configuration in
+// force.
+func pausable(t *testing.T, fencing bool) (*cluster, []*generator.Generator) {
+	c := newCluster(t)
+	engines := c.generators(generator.Config{Versions: []string{"chat-v1"}, Fencing: fencing})
+	for _, domain := range []string{"portland", "worcester", "hartford"} {
+		c.daemon("entry-"+domain, domain, daemonOptions{})
+	}
+	c.publish(c.daemons[0], testSet())
+	c.awaitGeneration(1)
+	c.awaitEndpoints(3)
+	return c, engines
+}
+
+// BenchmarkStoreCalls reports the calls a second that nine daemons make at the
+// store, idle and during a move.
+func BenchmarkStoreCalls(b *testing.B) {
+	for range b.N {
+		c := newCluster(b)
+		c.generators(generator.Config{Versions: []string{"chat-v1"}})
+		for i := range 9 {
+			c.daemon(fmt.Sprintf("entry-%d", i), []string{"portland", "worcester", "hartford"}[i%3], daemonOptions{})
+		}
+		c.publish(c.daemons[0], testSet())
+		c.awaitGeneration(1)
+		c.awaitEndpoints(3)
+		time.Sleep(5 * time.Second)
+		c.reportCalls(b, "idle", 10*time.Second)
+		m := &moving{cluster: c}
+		by := time.Now().Add(17 * time.Second)
+		c.publish(c.daemons[0], moveSet(by))
+		m.traffic()
+		c.reportCalls(b, "moving", time.Until(by))
+	}
+}
+
+func (c *cluster) reportCalls(b *testing.B, name string, d time.Duration) {
+	calls := func() keeper.Calls { return getJSON[keeper.Calls](b, c.address, "/calls") }
+	before := calls()
+	time.Sleep(d)
+	after := calls()
+	b.ReportMetric(float64(after.Writes-before.Writes)/d.Seconds(), name+"-writes/s")
+	b.ReportMetric(float64(after.Reads-before.Reads)/d.Seconds(), name+"-reads/s")
+	b.ReportMetric(float64(after.Waiting), name+"-watches")
+}
--- a/internal/daemon/verifier/move_test.go
+++ b/internal/daemon/verifier/move_test.go
@@ -39,22 +39,29 @@
 	failed, sent atomic.Int64
 }
 
-// newMoving starts three daemons and three engines in the test's own process,
-// publishes a move, and keeps asking for completions until the test ends.
-func newMoving(t *testing.T, by time.Time, cfg generator.Config) *moving {
-	t.Helper()
-	m := &moving{cluster: newCluster(t)}
-	cfg.Versions = append(cfg.Versions, "chat-v1")
+// generators starts an engine in each failure domain in the test's own process.
+func (c *cluster) generators(cfg generator.Config) []*generator.Generator {
+	c.t.Helper()
+	var engines []*generator.Generator
 	for _, domain := range []string{"portland", "worcester", "hartford"} {
 		g := generator.New(cfg)
 		srv := httptest.NewServer(g.Handler())
-		t.Cleanup(srv.Close)
-		m.engines = append(m.engines, g)
-		m.host(lister.Host{
+		c.t.Cleanup(srv.Close)
+		engines = append(engines, g)
+		c.host(lister.Host{
 			Name: "engine-" + domain, Domain: domain, Pool: domain, Role: lister.RoleEngine,
 			Address: srv.Listener.Addr().String(), State: lister.StateLive,
 		})
 	}
+	return engines
+}
+
+// newMoving starts daemons and engines, publishes a move, and keeps asking for
+// completions until the test ends.
+func newMoving(t *testing.T, by time.Time, faulty map[string]generator.Fault) *moving {
+	t.Helper()
+	m := &moving{cluster: newCluster(t)}
+	m.engines = m.generators(generator.Config{Versions: []string{"chat-v1"}, Faulty: faulty})
 	for _, domain := range []string{"portland", "worcester", "hartford"} {
 		m.daemon("entry-"+domain, domain, daemonOptions{})
 	}
@@ -144,7 +151,7 @@
 
 func TestMoveDoneInTime(t *testing.T) {
 	by := time.Now().Add(17 * time.Second)
-	m := newMoving(t, by, generator.Config{Versions: []string{"chat-v2"}})
+	m := newMoving(t, by, nil)
 	m.await(time.Until(by), mover.Done, m.daemons...)
 	before := m.served("chat-v1")
 	time.Sleep(time.Second)
@@ -157,9 +164,7 @@
 }
 
 func TestBadVersionTakenBack(t *testing.T) {
-	m := newMoving(t, time.Now().Add(30*time.Second), generator.Config{
-		Versions: []string{"chat-v2"}, Faulty: map[string]generator.Fault{"chat-v2": generator.FaultErrors},
-	})
+	m := newMoving(t, time.Now().Add(30*time.Second), map[string]generator.Fault{"chat-v2": generator.FaultErrors})
 	m.await(15*time.Second, mover.Reverted, m.daemons...)
 	touched := m.served("chat-v2")
 	time.Sleep(time.Second)
@@ -193,7 +198,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			by := time.Now().Add(22 * time.Second)
-			m := newMoving(t, by, generator.Config{Versions: []string{"chat-v2"}})
+			m := newMoving(t, by, nil)
 			m.await(15*time.Second, mover.Ramping, m.daemons...)
 			h := m.holder()
 			before := m.move(h).Epoch
