--- a/internal/traffic/relayer/outcome.go
+++ b/internal/traffic/relayer/outcome.go
@@ -50,7 +50,7 @@
 
 // report hands the outcome of an attempt to the configured Outcomes, if any.
 // An attempt whose caller went away says nothing about the version.
-func (r *Relayer) report(ctx context.Context, job Job, c router.Choice, n int, o *observation, err error) {
+func (r *Relayer) report(ctx context.Context, job Job, c router.Choice, n int, o observation, err error) {
 	var sinkErr *sinkError
 	if r.cfg.Outcomes == nil || ctx.Err() != nil || errors.As(err, &sinkErr) || !blamesVersion(err) {
 		return
@@ -69,10 +69,11 @@
 }
 
 // blamesVersion reports whether an error can be the fault of the version. An
-// engine that leaves, is overloaded or cannot be reached is not.
+// engine that leaves, is overloaded or cannot be reached is not, nor an answer
+// that the relayer itself moved.
 func blamesVersion(err error) bool {
 	for _, other := range []error{
-		inferrer.ErrLeaving, inferrer.ErrOverloaded, inferrer.ErrNotConnected, inferrer.ErrNotLoaded,
+		inferrer.ErrLeaving, inferrer.ErrOverloaded, inferrer.ErrNotConnected, inferrer.ErrNotLoaded, errMoved,
 	} {
 		if errors.Is(err, other) {
 			return false
