--- a/internal/daemon/demonstrator/demonstrator.go
+++ b/internal/daemon/demonstrator/demonstrator.go
@@ -72,6 +72,7 @@
 		func() error { return t.reportStart(started) },
 		t.chat,
 		t.order,
+		t.moves,
 	} {
 		if err := step(); err != nil {
 			return fmt.Errorf("trial: %w", err)
@@ -106,7 +107,10 @@
 		return err
 	}
 	for _, domain := range domains {
-		g := generator.New(generator.Config{Versions: []string{"chat-v1"}, TokenTime: time.Millisecond})
+		g := generator.New(generator.Config{
+			Versions: []string{"chat-v1", "notes-v1"}, TokenTime: time.Millisecond,
+			Faulty: map[string]generator.Fault{"notes-v2": generator.FaultErrors},
+		})
 		addr, err := t.serve(g.Handler())
 		if err != nil {
 			return err
@@ -269,6 +273,9 @@
   - {name: desk, domain: portland, class: small, price: 0.1}
 versions:
   - {name: chat-v1, model: chat, weights: chat/v1, pools: [portland, worcester, hartford]}
+  - {name: chat-v2, model: chat, weights: chat/v2, pools: [portland, worcester, hartford]}
+  - {name: notes-v1, model: notes, weights: notes/v1, pools: [portland, worcester, hartford]}
+  - {name: notes-v2, model: notes, weights: notes/v2, pools: [portland, worcester, hartford]}
   - {name: desk-v1, pools: [desk]}
 routes:
   - name: chat
@@ -276,6 +283,11 @@
     versions: [{version: chat-v1, share: 100}]
     target: {first: 1s, token: 27ms}
     idempotent: true
+  - name: notes
+    kind: model
+    versions: [{version: notes-v1, share: 100}]
+    target: {first: 1s, token: 27ms}
+    idempotent: true
   - name: desk
     kind: service
     versions: [{version: desk-v1, share: 100}]
