--- a/internal/daemon/demonstrator/moves.go
+++ b/internal/daemon/demonstrator/moves.go
@@ -99,6 +99,8 @@
 	c.end = sync.OnceFunc(func() {
 		close(stop)
 		g.Wait()
+		// A server that stops waits for connections that were never used.
+		http.DefaultClient.CloseIdleConnections()
 	})
 	return &c
 }
