--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -71,6 +71,7 @@
 	relayer   *relayer.Relayer
 	listener  *listener.Listener
 	informer  *informer.Informer
+	moves     moves
 	drain     chan struct{}
 	// leavings holds the keys of the endpoints known to be leaving.
 	leavings sync.Map
@@ -127,7 +128,9 @@
 		Self: self, Sender: d.messenger, Seeds: func() []string { return s.Seeds },
 		Changed: d.membersChanged, Logger: d.logger, Registry: d.registry,
 	})
+	d.buildMoves(store)
 	d.control = controller.New(controller.Config{
+		Splits: d.moves.follower.Splits,
 		Holder: &d.holder, Lister: leavingLister{lister.NewClient(lister.ClientConfig{Address: s.Platform}), d},
 		Adopted: d.adopted, Logger: d.logger, Registry: d.registry,
 	})
@@ -149,7 +152,7 @@
 	rec := recorder.New(recorder.Config{Store: store, Owner: owner})
 	d.relayer = relayer.New(relayer.Config{
 		View: d.holder.Load, Router: rt, Domain: s.Domain, HTTP: inferrer.NewHTTP(), Tracer: d.tracer, Registry: d.registry,
-		Leaving: d.refusedByLeaving,
+		Leaving: d.refusedByLeaving, Outcomes: d.moves.follower,
 	})
 	d.listener = listener.New(listener.Config{
 		View: d.holder.Load, Admitter: admitter.New(), Recorder: rec, Tracer: d.tracer, Registry: d.registry,
@@ -160,7 +163,7 @@
 	})
 	d.informer = informer.New(informer.Config{
 		View: d.holder.Load, Current: d.current, Publisher: publisher.New(publisher.Config{Store: store}),
-		Recorder: rec, Drain: d.Drain, Registry: d.registry,
+		Recorder: rec, Drain: d.Drain, Registry: d.registry, Moves: d.moves.follower,
 	})
 }
 
@@ -218,10 +221,10 @@
 	defer endServing()
 	defer d.end()
 	var g errgroup.Group
-	for _, f := range []func(context.Context) error{
+	for _, f := range append([]func(context.Context) error{
 		d.messenger.Run, d.gossiper.Run, d.control.Run, d.control.RunHosts,
 		d.watcher.RunStore, d.watcher.RunPeers, d.prober.Run, d.serveOperators,
-	} {
+	}, d.moves.runs()...) {
 		g.Go(func() error {
 			defer endServing()
 			return f(d.ctx)
