--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -112,7 +112,7 @@
 	if d.operators, err = lc.Listen(ctx, "tcp", s.Operators); err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
-	d.messenger, err = messenger.New(messenger.Config{Listen: s.Peers, Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA})
+	d.messenger, err = messenger.New(messenger.Config{Listen: s.Peers, Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA, Failed: d.materialFailed})
 	return err
 }
 
@@ -125,7 +125,7 @@
 	}
 	d.release.Store(&publisher.Release{})
 	d.gossiper = gossiper.New(gossiper.Config{
-		Self: self, Sender: d.messenger, Seeds: func() []string { return s.Seeds },
+		Self: self, Sender: d.messenger, Caller: d.messenger, Seeds: d.seeds,
 		Changed: d.membersChanged, Logger: d.logger, Registry: d.registry,
 	})
 	d.buildMoves(store)
@@ -134,10 +134,7 @@
 		Holder: &d.holder, Lister: leavingLister{lister.NewClient(lister.ClientConfig{Address: s.Platform}), d},
 		Adopted: d.adopted, Logger: d.logger, Registry: d.registry,
 	})
-	d.watcher = publisher.NewWatcher(publisher.WatcherConfig{
-		Store: store, Caller: d.messenger, Current: d.current, Adopt: func(r publisher.Release) { d.control.Adopt(d.ctx, r) },
-		Peers: d.peers, Logger: d.logger, Registry: d.registry,
-	})
+	d.watcher = d.newWatcher()
 	d.prober = prober.New(prober.Config{
 		Endpoints: func() []viewer.Endpoint { return d.holder.Load().Endpoints },
 		Report:    d.reported,
@@ -162,7 +159,7 @@
 		}),
 	})
 	d.informer = informer.New(informer.Config{
-		View: d.holder.Load, Current: d.current, Publisher: publisher.New(publisher.Config{Store: store}),
+		View: d.holder.Load, Current: d.current, Publisher: d.newPublisher(store),
 		Recorder: rec, Drain: d.Drain, Registry: d.registry, Moves: d.moves.follower,
 	})
 }
@@ -199,19 +196,7 @@
 
 func (d *Daemon) adopted(r publisher.Release) {
 	d.release.Store(&r)
-	d.gossiper.SetGeneration(r.Generation)
-}
-
-func (d *Daemon) membersChanged() { d.control.SetMembers(d.ctx, d.gossiper.Members()) }
-
-func (d *Daemon) peers() []publisher.Peer {
-	var peers []publisher.Peer
-	for _, m := range d.gossiper.Members() {
-		if m.Name != d.settings.Name && m.State != viewer.StateGone {
-			peers = append(peers, publisher.Peer{Address: m.Peers, Generation: m.Generation})
-		}
-	}
-	return peers
+	d.gossiper.SetRelease(r.Generation, r.Digest())
 }
 
 // Run serves until stop ends or Drain is called, then stops in order: traffic
@@ -244,6 +229,7 @@
 	g.Go(func() error {
 		defer d.end()
 		err := d.listener.Serve(serving, d.callers, d.settings.Drain.Std())
+		d.gossiper.SetState(viewer.StateGone)
 		time.Sleep(leaveTime)
 		return err
 	})
