Take every order to an end, also when its daemon is lost

Now a daemon lists its open orders under one key of the store, before it records them; orders that come while that write is under way share the next one. The daemon that rendezvous hashing picks takes the list of one that is gone: orders not sent go on by compare-and-swap, others are looked up at the service or end unknown. A draining daemon hands its queued orders over by a call, and a step that it cannot write to another daemon. A call that may be repeated is relayed with retries and without a record. An order with a reachable service is first recorded as dispatched, so that it takes a list entry and two writes. Ended orders share a lease an hour, so that they expire without writes of their own.

Ruled out: an index key an order (two more writes), the record moved to another prefix at its end (one more write, one more read, and a race between the two keys), a watch or a listing a daemon (calls grow with the fleet).

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -68,6 +68,7 @@
 	watcher   *publisher.Watcher
 	prober    *prober.Prober
 	listener  *listener.Listener
+	orders    *recorder.Runner
 	informer  *informer.Informer
 	drain     chan struct{}
 	// ctx bounds the life of the control parts; end ends it.
@@ -135,21 +136,19 @@
 		Endpoints: func() []viewer.Endpoint { return d.holder.Load().Endpoints },
 		Report:    func(r []prober.Report) { d.control.SetReports(d.ctx, r) },
 	})
-	d.buildTraffic(store, fmt.Sprintf("%s/%d", s.Name, incarnation))
+	d.buildTraffic(store, recorder.OwnerName(s.Name, incarnation))
 }
 
 func (d *Daemon) buildTraffic(store storer.Store, owner string) {
 	s := d.settings
 	rt := router.New(router.Config{})
-	rec := recorder.New(recorder.Config{Store: store, Owner: owner})
+	rec := d.buildOrders(store, owner, rt)
 	d.listener = listener.New(listener.Config{
 		View: d.holder.Load, Admitter: admitter.New(), Recorder: rec, Tracer: d.tracer, Registry: d.registry,
 		Relayer: relayer.New(relayer.Config{
 			View: d.holder.Load, Router: rt, Domain: s.Domain, HTTP: inferrer.NewHTTP(), Tracer: d.tracer, Registry: d.registry,
 		}),
-		Runner: recorder.NewRunner(recorder.RunnerConfig{
-			Recorder: rec, Router: rt, View: d.holder.Load, Domain: s.Domain, Tracer: d.tracer, Registry: d.registry,
-		}),
+		Runner: d.orders,
 	})
 	d.informer = informer.New(informer.Config{
 		View: d.holder.Load, Current: d.current, Publisher: publisher.New(publisher.Config{Store: store}),
@@ -213,7 +212,7 @@
 	var g errgroup.Group
 	for _, f := range []func(context.Context) error{
 		d.messenger.Run, d.gossiper.Run, d.control.Run, d.control.RunHosts,
-		d.watcher.RunStore, d.watcher.RunPeers, d.prober.Run, d.serveOperators,
+		d.watcher.RunStore, d.watcher.RunPeers, d.prober.Run, d.serveOperators, d.orders.Run,
 	} {
 		g.Go(func() error {
 			defer endServing()
@@ -228,12 +227,14 @@
 		}
 		d.log("msg", "draining")
 		d.gossiper.SetState(viewer.StateLeaving)
+		d.orders.Release()
 		endServing()
 		return nil
 	})
 	g.Go(func() error {
 		defer d.end()
 		err := d.listener.Serve(serving, d.callers, d.settings.Drain.Std())
+		d.drainOrders()
 		time.Sleep(leaveTime)
 		return err
 	})
--- a/internal/traffic/listener/listener.go
+++ b/internal/traffic/listener/listener.go
@@ -29,7 +29,6 @@
 const (
 	maxBodyBytes  = 4 << 20
 	maxOrderBytes = 256 << 10
-	storeRetry    = 5 * time.Second
 	headerTimeout = 10 * time.Second
 )
 
--- a/internal/traffic/listener/service.go
+++ b/internal/traffic/listener/service.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/google/uuid"
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/platform/storer"
@@ -16,7 +16,13 @@
 	"pomelotiller/internal/traffic/refuser"
 )
 
-const orderPath = "/v1/orders/"
+const (
+	orderPath = "/v1/orders/"
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 256
+	// refusedRetry is when an order that was refused may be posted again.
+	refusedRetry = time.Second
+)
 
 // call is one admitted call of a plain service.
 type call struct {
@@ -33,34 +39,37 @@
 		refuser.Write(w, err)
 		return
 	}
-	o, fresh, err := l.cfg.Recorder.Accept(r.Context(), c.organisation.Name, c.route.Name, c.key, c.request)
-	if err != nil {
-		refuser.Write(w, err)
+	if c.key == "" {
+		l.relayCall(w, r, c)
 		return
 	}
-	w.Header().Set("Location", orderPath+o.ID)
-	if !fresh {
-		l.answerOrder(w, o)
-		return
-	}
-	// The order goes on when its caller is gone.
-	ctx := context.WithoutCancel(r.Context())
-	if c.prefer.async {
-		l.active.Add(1)
-		go func() {
-			defer l.active.Add(-1)
-			// The order's record tells how it ended.
-			_, _ = l.cfg.Runner.Run(ctx, o)
-		}()
-		replyJSON(w, http.StatusAccepted, newOrderView(o))
+	id := recorder.OrderID(c.organisation.Name, c.route.Name, c.key)
+	w.Header().Set("Location", orderPath+id)
+	o, err := l.cfg.Runner.Submit(r.Context(), recorder.Submission{
+		Organisation: c.organisation.Name, Route: c.route.Name, Key: c.key,
+		Request: c.request, Async: c.prefer.async, Wait: c.prefer.wait,
+	})
+	if err != nil {
+		refuser.Write(w, err)
 		return
 	}
-	o, err = l.cfg.Runner.Run(ctx, o)
+	l.answerOrder(w, o)
+}
+
+// relayCall carries a call that may be repeated and is not recorded.
+func (l *Listener) relayCall(w http.ResponseWriter, r *http.Request, c call) {
+	ctx := r.Context()
+	if c.prefer.wait > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.prefer.wait)
+		defer cancel()
+	}
+	a, err := l.cfg.Runner.Call(ctx, c.route, c.request)
 	if err != nil {
 		refuser.Write(w, err)
 		return
 	}
-	l.answerOrder(w, o)
+	writeAnswer(w, a)
 }
 
 func (l *Listener) admitCall(w http.ResponseWriter, r *http.Request) (call, error) {
@@ -86,8 +95,11 @@
 			Detail: fmt.Sprintf("calls of %q must not be repeated; want an Idempotency-Key header", name),
 		}
 	}
-	if key == "" {
-		key = uuid.NewString()
+	if len(key) > maxKeyBytes {
+		return call{}, &refuser.Refusal{
+			Status: http.StatusBadRequest, Title: "key-too-long",
+			Detail: fmt.Sprintf("the Idempotency-Key has %d bytes; want at most %d", len(key), maxKeyBytes),
+		}
 	}
 	prefer, err := parsePrefer(r.Header.Values("Prefer"))
 	if err != nil {
@@ -104,20 +116,34 @@
 
 // answerOrder gives the caller what is known of an order.
 func (l *Listener) answerOrder(w http.ResponseWriter, o recorder.Order) {
-	if o.State == recorder.StateDone {
-		w.Header().Set("Content-Type", o.Answer.ContentType)
-		w.WriteHeader(o.Answer.Status)
-		// A failed write means that the caller is gone; the answer is recorded.
-		_, _ = w.Write(o.Answer.Body)
-		return
-	}
-	if !o.Ended() {
+	switch {
+	case o.State == recorder.StateDone && !o.Answer.Omitted:
+		writeAnswer(w, *o.Answer)
+	case o.State == recorder.StateDone:
+		refuser.Write(w, &refuser.Refusal{
+			Status: http.StatusBadGateway, Title: "answer-too-large", Run: refuser.Ran, Detail: o.Reason,
+		})
+	case !o.Ended():
 		replyJSON(w, http.StatusAccepted, newOrderView(o))
-		return
+	case o.State == recorder.StateRefused:
+		refuser.Write(w, &refuser.Refusal{
+			Status: http.StatusServiceUnavailable, Title: "order-refused", Run: refuser.NotRun,
+			RetryAfter: refusedRetry, Detail: o.Reason + "; the same key may be used again",
+		})
+	default:
+		refuser.Write(w, &refuser.Refusal{
+			Status: http.StatusBadGateway, Title: "order-unknown", Run: refuser.Unknown, Detail: o.Reason,
+		})
 	}
-	refuser.Write(w, &refuser.Refusal{
-		Status: http.StatusBadGateway, Title: "order-" + string(o.State), Run: o.Run(), Detail: o.Reason,
-	})
+}
+
+func writeAnswer(w http.ResponseWriter, a recorder.Answer) {
+	if a.ContentType != "" {
+		w.Header().Set("Content-Type", a.ContentType)
+	}
+	w.WriteHeader(a.Status)
+	// A failed write means that the caller is gone.
+	_, _ = w.Write(a.Body)
 }
 
 // orderView is what callers are shown of an order.
@@ -151,7 +177,7 @@
 	}
 	if err != nil {
 		refuser.Write(w, &refuser.Refusal{
-			Status: http.StatusServiceUnavailable, Title: "store-unavailable", RetryAfter: storeRetry,
+			Status: http.StatusServiceUnavailable, Title: "store-unavailable", RetryAfter: l.cfg.Recorder.RetryAfter(),
 			Detail: "the order cannot be read at present", Err: err,
 		})
 		return
--- /dev/null
+++ b/internal/traffic/recorder/adopter.go
@@ -0,0 +1,294 @@
+package recorder
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"pomelotiller/internal/fleet/viewer"
+	"pomelotiller/internal/observe/meter"
+	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/traffic/refuser"
+)
+
+const (
+	tickPeriod = 500 * time.Millisecond
+	// goneTime is how long a daemon has to be gone before its orders are taken
+	// over: one that wakes up from a pause sees all others gone for a moment.
+	goneTime = 1500 * time.Millisecond
+	// strangerTime is the same for a daemon that gossip does not know: this
+	// daemon may only just have started.
+	strangerTime = 10 * time.Second
+	// scanPeriod is the time between two listings of all journals, which one
+	// daemon of the fleet makes.
+	scanPeriod  = 15 * time.Second
+	adoptPeriod = time.Second
+	scanDuty    = "order scan"
+)
+
+// adoption is a journal that this daemon takes over.
+type adoption struct {
+	// released says that the owner lets go of the orders that it has not sent.
+	released atomic.Bool
+}
+
+// Run takes over the orders of daemons that are gone, until ctx ends.
+func (r *Runner) Run(ctx context.Context) error {
+	tick := time.NewTicker(tickPeriod)
+	defer tick.Stop()
+	scanned := r.now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.drained:
+			return nil
+		case <-tick.C:
+		}
+		r.forget()
+		r.adoptGone(ctx)
+		if r.now().Sub(scanned) >= scanPeriod {
+			scanned = r.now()
+			r.scan(ctx)
+		}
+	}
+}
+
+// forget drops the keys that were taken long ago.
+func (r *Runner) forget() {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, t := range r.recent {
+		if now.Sub(t) > recentTime {
+			delete(r.recent, id)
+		}
+	}
+}
+
+// adoptGone takes over the journals of known daemons that are gone and that
+// this daemon is chosen for.
+func (r *Runner) adoptGone(ctx context.Context) {
+	for _, m := range r.cfg.View().Members {
+		owner := OwnerName(m.Name, m.Incarnation)
+		if r.dead(owner) && r.chosen(owner) == r.cfg.Name {
+			r.adopt(ctx, owner, false)
+		}
+	}
+}
+
+// scan finds the journals of daemons that nobody remembers, and passes each to
+// the daemon that is chosen for it.
+func (r *Runner) scan(ctx context.Context) {
+	if r.chosen(scanDuty) != r.cfg.Name {
+		return
+	}
+	p, err := r.cfg.Recorder.cfg.Store.List(ctx, JournalPrefix)
+	if err != nil {
+		return
+	}
+	for _, e := range p.Entries {
+		if owner := strings.TrimPrefix(e.Key, JournalPrefix); r.dead(owner) {
+			r.passOn(ctx, owner)
+		}
+	}
+}
+
+// chosen returns the daemon that rendezvous hashing picks for a duty among
+// those alive, so that all agree without a call.
+func (r *Runner) chosen(duty string) string {
+	if names := r.ranked(duty); len(names) > 0 {
+		return names[0].Name
+	}
+	return ""
+}
+
+// ranked returns the daemons alive in the order in which they are chosen for a
+// duty.
+func (r *Runner) ranked(duty string) []viewer.Member {
+	var alive []viewer.Member
+	for _, m := range r.cfg.View().Members {
+		if m.State == viewer.StateAlive && (m.Name != r.cfg.Name || !r.draining()) {
+			alive = append(alive, m)
+		}
+	}
+	weight := func(m viewer.Member) uint64 { return xxhash.Sum64String(m.Name + "\x00" + duty) }
+	slices.SortFunc(alive, func(a, b viewer.Member) int { return cmp.Compare(weight(b), weight(a)) })
+	return alive
+}
+
+// dead reports whether an owner has been gone for long enough. A daemon that
+// runs again under the same name is another owner.
+func (r *Runner) dead(owner string) bool {
+	limit := time.Duration(0)
+	for _, m := range r.cfg.View().Members {
+		if OwnerName(m.Name, m.Incarnation) != owner {
+			continue
+		}
+		if m.State != viewer.StateGone {
+			limit = -1
+		} else {
+			limit = goneTime
+		}
+	}
+	if limit == 0 {
+		limit = strangerTime
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if limit < 0 || owner == r.cfg.Recorder.cfg.Owner {
+		delete(r.absent, owner)
+		return false
+	}
+	now := r.now()
+	since, ok := r.absent[owner]
+	if !ok {
+		r.absent[owner] = now
+		return false
+	}
+	return now.Sub(since) >= limit
+}
+
+// adopt takes a journal's orders to their end, in the background.
+func (r *Runner) adopt(ctx context.Context, owner string, released bool) {
+	r.mu.Lock()
+	a := r.adopting[owner]
+	known := a != nil || r.adopted[owner] && !released
+	if a == nil {
+		a = &adoption{}
+	}
+	if released {
+		a.released.Store(true)
+	}
+	if !known {
+		r.adopting[owner] = a
+	}
+	r.mu.Unlock()
+	if known {
+		return
+	}
+	go func() {
+		finished := false
+		for !finished && ctx.Err() == nil && !r.draining() && (a.released.Load() || r.dead(owner)) {
+			if finished = r.adoptOnce(ctx, owner, a); !finished {
+				r.pause(ctx, adoptPeriod)
+			}
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.adopting, owner)
+		r.adopted[owner] = finished && !a.released.Load()
+	}()
+}
+
+// adoptOnce takes the orders that a journal lists at present to their end, and
+// then deletes it. It reports whether nothing is left.
+func (r *Runner) adoptOnce(ctx context.Context, owner string, a *adoption) bool {
+	store := r.cfg.Recorder.cfg.Store
+	e, err := store.Get(ctx, JournalPrefix+owner)
+	if errors.Is(err, storer.ErrNotFound) {
+		return true
+	}
+	var list journalRecord
+	if err != nil || json.Unmarshal(e.Value, &list) != nil {
+		return false
+	}
+	var wg sync.WaitGroup
+	var left atomic.Int64
+	for _, id := range list.Open {
+		wg.Go(func() {
+			if !r.adoptOrder(ctx, id, owner, a) {
+				left.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if left.Load() > 0 {
+		return false
+	}
+	_, err = store.Swap(ctx, storer.Write{Key: e.Key, Expect: e.Revision, Delete: true, ID: uuid.NewString()})
+	return err == nil
+}
+
+// adoptOrder takes one order to its end and reports whether it has come there.
+func (r *Runner) adoptOrder(ctx context.Context, id, owner string, a *adoption) bool {
+	o, err := r.cfg.Recorder.Get(ctx, id)
+	if errors.Is(err, storer.ErrNotFound) {
+		return r.bar(ctx, id, owner, a)
+	}
+	if err != nil {
+		return false
+	}
+	free := a.released.Load() && o.Owner == owner && o.State == StateAccepted
+	if !o.Ended() && (free || r.dead(o.Owner) || o.Owner == r.cfg.Recorder.cfg.Owner) {
+		meter.Count(r.cfg.Registry, 1, "orders_adopted_total", "state", string(o.State))
+		select {
+		case <-r.resume(o).over:
+		case <-ctx.Done():
+		}
+		o, err = r.cfg.Recorder.Get(ctx, id)
+	}
+	return err == nil && o.Ended()
+}
+
+// bar records an order that its daemon has listed but not recorded, so that a
+// write still under way cannot bring it to life unlisted.
+func (r *Runner) bar(ctx context.Context, id, owner string, a *adoption) bool {
+	if a.released.Load() && !r.dead(owner) {
+		return false
+	}
+	now := r.now()
+	s, err := r.cfg.Recorder.step(Order{
+		ID: id, State: StateAccepted, Owner: r.cfg.Recorder.cfg.Owner, Accepted: now,
+	}, triggerRefuse, func(n *Order) { n.Reason = "the daemon that took the order was lost before it was recorded" })
+	if err != nil {
+		return false
+	}
+	_, err = r.apply(ctx, s)
+	return err == nil
+}
+
+// resume takes an order to its end that another daemon has left.
+func (r *Runner) resume(o Order) *job {
+	j, fresh := r.join(o.ID, o.Digest)
+	if fresh {
+		r.start(r.ctx, j, func(ctx context.Context) {
+			if o.State == StateDispatched {
+				r.learn(ctx, j, o, errOwnerLost)
+				return
+			}
+			j.recorded(o)
+			r.queue(ctx, j, o)
+		})
+	}
+	return j
+}
+
+var errOwnerLost = errors.New("the daemon that sent the order was lost")
+
+// storeRefusal refuses an order that could not be recorded. It was not sent by
+// this daemon, and none of its records allows another to send it; but a key
+// that this daemon has seen before may have run then.
+func (r *Runner) storeRefusal(o Order, err error) error {
+	refusal := &refuser.Refusal{
+		Status: 503, Title: "store-unavailable", Run: refuser.NotRun, Err: err,
+		RetryAfter: r.cfg.Recorder.cfg.Outage.RetryAfter(r.now()),
+		Detail:     "the order could not be recorded, and this request was not run",
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, seen := r.recent[o.ID]; seen {
+		refusal.Run = refuser.Unknown
+		refusal.Detail = "the order cannot be read at present, and an earlier request with its key may have run; read /v1/orders/" + o.ID
+	}
+	return refusal
+}
--- a/internal/traffic/recorder/recorder.go
+++ b/internal/traffic/recorder/recorder.go
@@ -5,15 +5,14 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
-	"github.com/qmuntal/stateless"
+	"github.com/google/uuid"
 
 	"pomelotiller/internal/platform/storer"
 	"pomelotiller/internal/traffic/refuser"
@@ -22,138 +21,36 @@
 // KeyPrefix starts the keys of all orders in the store.
 const KeyPrefix = "orders/"
 
-const storeRetry = 5 * time.Second
-
-// State is the state of an order.
-type State string
-
-// States of orders.
 const (
-	// StateAccepted is an order of which nothing was sent.
-	StateAccepted State = "accepted"
-	// StateDispatched is an order that may have been sent; it is never sent
-	// again.
-	StateDispatched State = "dispatched"
-	// StateDone is an order whose answer is recorded.
-	StateDone State = "done"
-	// StateUnknown is an order that may have run and whose answer is lost.
-	StateUnknown State = "unknown"
-	// StateRefused is an order that did not run and will not.
-	StateRefused State = "refused"
+	// MaxRecordBytes bounds the value of a record; the store holds values up to
+	// a megabyte.
+	MaxRecordBytes = 1_000_000
+	// Retention is how long an ended order can be read at least.
+	Retention = 48 * time.Hour
+	// retentionBucket is how long ended orders share one lease, so that expiry
+	// costs no write an order.
+	retentionBucket = time.Hour
 )
 
-// trigger is an event in the life of an order.
-type trigger string
-
-const (
-	triggerDispatch trigger = "dispatch"
-	triggerFinish   trigger = "finish"
-	triggerLose     trigger = "lose"
-	triggerRefuse   trigger = "refuse"
-	triggerTakeOver trigger = "take over"
-)
-
-// Request is what a caller sent.
-type Request struct {
-	Method      string `json:"method"`
-	Path        string `json:"path"`
-	ContentType string `json:"content_type,omitempty"`
-	Body        []byte `json:"body,omitempty"`
-}
-
-// Answer is what the service answered.
-type Answer struct {
-	Status      int    `json:"status"`
-	ContentType string `json:"content_type,omitempty"`
-	Body        []byte `json:"body,omitempty"`
-}
-
-// Order is the record of one order. It must not be changed; the With methods
-// return changed copies.
-type Order struct {
-	ID           string    `json:"id"`
-	Organisation string    `json:"organisation"`
-	Route        string    `json:"route"`
-	Key          string    `json:"key"`
-	Digest       string    `json:"digest"`
-	Request      Request   `json:"request"`
-	State        State     `json:"state"`
-	Owner        string    `json:"owner"`
-	Endpoint     string    `json:"endpoint,omitempty"`
-	Attempt      int       `json:"attempt,omitempty"`
-	Answer       *Answer   `json:"answer,omitempty"`
-	Reason       string    `json:"reason,omitempty"`
-	Accepted     time.Time `json:"accepted"`
-	Changed      time.Time `json:"changed"`
-
-	revision uint64
-}
-
-// Ended reports whether the order has come to its end.
-func (o Order) Ended() bool {
-	return o.State == StateDone || o.State == StateUnknown || o.State == StateRefused
-}
-
-// Run says whether the order may have run.
-func (o Order) Run() refuser.RunState {
-	switch o.State {
-	case StateAccepted, StateRefused:
-		return refuser.NotRun
-	case StateDone:
-		return refuser.Ran
-	default:
-		return refuser.Unknown
-	}
-}
-
-// withState moves the order by a trigger, or fails if its state forbids that.
-func (o Order) withState(t trigger) (Order, error) {
-	m := stateless.NewStateMachine(o.State)
-	m.Configure(StateAccepted).
-		Permit(triggerDispatch, StateDispatched).
-		Permit(triggerRefuse, StateRefused).
-		PermitReentry(triggerTakeOver)
-	m.Configure(StateDispatched).
-		Permit(triggerFinish, StateDone).
-		Permit(triggerLose, StateUnknown).
-		PermitReentry(triggerTakeOver)
-	m.Configure(StateUnknown).
-		Permit(triggerFinish, StateDone)
-	if err := m.Fire(t); err != nil {
-		return o, fmt.Errorf("order %s: %w", o.ID, err)
-	}
-	o.State = m.MustState().(State)
-	return o, nil
-}
-
-// OrderID returns the id of an order: the same organisation, route and key
-// always give the same id.
-func OrderID(organisation, route, key string) string {
-	sum := sha256.Sum256([]byte(organisation + "\x00" + route + "\x00" + key))
-	return hex.EncodeToString(sum[:16])
-}
-
-// digest identifies the content of a request.
-func digest(r Request) string {
-	h := sha256.New()
-	fmt.Fprintf(h, "%s\x00%s\x00%s\x00", r.Method, r.Path, r.ContentType)
-	h.Write(r.Body)
-	return hex.EncodeToString(h.Sum(nil))
-}
-
 // Config configures a Recorder.
 type Config struct {
 	// Store holds the records.
 	Store storer.Store
-	// Owner names this run of this daemon.
+	// Owner names this run of this daemon, as OwnerName does.
 	Owner string
 	// Now returns the time.
 	Now func() time.Time
+	// Outage learns from each call whether the store answers.
+	Outage *refuser.Outage
 }
 
-// Recorder keeps orders.
+// Recorder keeps orders. All methods are safe for concurrent use.
 type Recorder struct {
 	cfg Config
+
+	mu      sync.Mutex
+	lease   string
+	granted time.Time
 }
 
 // New returns a recorder.
@@ -161,122 +58,190 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Outage == nil {
+		cfg.Outage = &refuser.Outage{}
+	}
 	return &Recorder{cfg: cfg}
 }
 
-// Accept records an order before any of it is sent. It reports false if the
-// order was known already, and refuses one whose key was used for another
-// request.
-func (r *Recorder) Accept(ctx context.Context, organisation, route, key string, req Request) (Order, bool, error) {
+// Step is one change of an order's record. It may be applied again until it is
+// settled: its write id stays the same, so that it takes effect once.
+type Step struct {
+	Next   Order  `json:"next"`
+	Expect uint64 `json:"expect"`
+	Write  string `json:"write"`
+	Name   string `json:"name"`
+}
+
+// StaleError says that an order's record is not what a step started from.
+type StaleError struct {
+	// Current is the record as it stands.
+	Current Order
+}
+
+// Error implements error.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("order %s has changed: it is %s and owned by %s", e.Current.ID, e.Current.State, e.Current.Owner)
+}
+
+// newOrder returns an order that is not recorded yet.
+func (r *Recorder) newOrder(s Submission, expires time.Duration) Order {
 	now := r.cfg.Now()
-	o := Order{
-		ID: OrderID(organisation, route, key), Organisation: organisation, Route: route, Key: key,
-		Digest: digest(req), Request: req, State: StateAccepted, Owner: r.cfg.Owner, Accepted: now, Changed: now,
+	return Order{
+		ID: OrderID(s.Organisation, s.Route, s.Key), Organisation: s.Organisation, Route: s.Route, Key: s.Key,
+		Digest: digest(s.Request), Request: s.Request, State: StateAccepted, Owner: r.cfg.Owner,
+		Accepted: now, Changed: now, Expires: now.Add(expires),
 	}
-	stored, err := r.swap(ctx, o, 0)
-	var conflict *storer.ConflictError
-	if err == nil {
-		return stored, true, nil
+}
+
+// step prepares a change of an order; change may be nil.
+func (r *Recorder) step(o Order, t trigger, change func(*Order)) (Step, error) {
+	next, err := o.withState(t)
+	if err != nil {
+		return Step{}, err
+	}
+	next.Changed = r.cfg.Now()
+	if change != nil {
+		change(&next)
 	}
-	if !errors.As(err, &conflict) || errors.Is(err, storer.ErrUnsettled) {
-		return Order{}, false, storeRefusal(err)
+	if next.Ended() {
+		next.Request = Request{}
 	}
-	known, err := decode(conflict.Current)
+	return Step{Next: next, Expect: o.revision, Write: uuid.NewString(), Name: string(t)}, nil
+}
+
+// dispatch prepares the record that the order is about to be sent to an
+// endpoint by this daemon.
+func (r *Recorder) dispatch(o Order, endpoint string) (Step, error) {
+	return r.step(o, triggerDispatch, func(n *Order) {
+		n.Endpoint, n.Owner = endpoint, r.cfg.Owner
+		n.Attempt++
+	})
+}
+
+// finish prepares the record of the answer.
+func (r *Recorder) finish(o Order, a Answer) (Step, error) {
+	return r.step(o, triggerFinish, func(n *Order) { n.Answer, n.Reason = &a, "" })
+}
+
+// Apply writes a step. It returns a *StaleError if the record has changed
+// otherwise; after any other error the step may be applied again.
+func (r *Recorder) Apply(ctx context.Context, s Step) (Order, error) {
+	value, err := encodeRecord(s.Next)
 	if err != nil {
-		return Order{}, false, err
+		return s.Next, err
 	}
-	if known.Digest != o.Digest {
-		return Order{}, false, &refuser.Refusal{
-			Status: http.StatusUnprocessableEntity, Title: "key-reused", Run: refuser.NotRun,
-			Detail: fmt.Sprintf("Idempotency-Key %q was used for another request", key),
+	w := storer.Write{Key: KeyPrefix + s.Next.ID, Value: value, Expect: s.Expect, ID: s.Write}
+	if s.Next.Ended() {
+		if w.Lease, err = r.retain(ctx); err != nil {
+			r.cfg.Outage.Fail(r.cfg.Now())
+			return s.Next, fmt.Errorf("order %s: retention: %w", s.Next.ID, err)
 		}
 	}
-	return known, false, nil
-}
-
-// storeRefusal refuses an order that could not be recorded. Nothing of it was
-// sent, whatever became of the write.
-func storeRefusal(err error) error {
-	return &refuser.Refusal{
-		Status: http.StatusServiceUnavailable, Title: "store-unavailable", Run: refuser.NotRun,
-		RetryAfter: storeRetry, Detail: "the order could not be recorded", Err: err,
+	e, err := r.cfg.Store.Swap(ctx, w)
+	var conflict *storer.ConflictError
+	switch {
+	case err == nil:
+	case errors.As(err, &conflict) && conflict.Current.Write == s.Write:
+		e = conflict.Current
+	case errors.As(err, &conflict):
+		r.cfg.Outage.End()
+		return s.Next, staleError(conflict)
+	case errors.Is(err, storer.ErrLeaseLapsed):
+		r.dropLease(w.Lease)
+		return s.Next, fmt.Errorf("order %s: %w", s.Next.ID, err)
+	default:
+		r.cfg.Outage.Fail(r.cfg.Now())
+		return s.Next, fmt.Errorf("order %s: %w", s.Next.ID, err)
 	}
+	r.cfg.Outage.End()
+	o := s.Next
+	o.revision, o.write = e.Revision, s.Write
+	return o, nil
 }
 
-// Dispatch records that the order is about to be sent to an endpoint. Only the
-// caller for whom it succeeds may send it.
-func (r *Recorder) Dispatch(ctx context.Context, o Order, endpoint string) (Order, error) {
-	n, err := o.withState(triggerDispatch)
+// staleError returns the record that stands; one that has expired stands as a
+// refused order without a revision.
+func staleError(conflict *storer.ConflictError) error {
+	if conflict.Current.Deleted || conflict.Current.Revision == 0 {
+		return &StaleError{Current: Order{State: StateRefused, Reason: "the record has expired"}}
+	}
+	o, err := decode(conflict.Current)
 	if err != nil {
-		return o, err
+		return err
 	}
-	n.Endpoint = endpoint
-	n.Attempt++
-	return r.step(ctx, o, n)
+	return &StaleError{Current: o}
 }
 
-// Finish records the answer.
-func (r *Recorder) Finish(ctx context.Context, o Order, a Answer) (Order, error) {
-	n, err := o.withState(triggerFinish)
+// encodeRecord encodes an order, without the answer's body if that does not fit.
+func encodeRecord(o Order) ([]byte, error) {
+	b, err := json.Marshal(o)
 	if err != nil {
-		return o, err
+		return nil, fmt.Errorf("encode order %s: %w", o.ID, err)
 	}
-	n.Answer = &a
-	return r.step(ctx, o, n)
+	if len(b) <= MaxRecordBytes {
+		return b, nil
+	}
+	if o.Answer == nil {
+		return nil, &refuser.Refusal{
+			Status: http.StatusRequestEntityTooLarge, Title: "too-large", Run: refuser.NotRun,
+			Detail: fmt.Sprintf("the order's record is %d bytes; want at most %d", len(b), MaxRecordBytes),
+		}
+	}
+	a := Answer{Status: o.Answer.Status, Omitted: true}
+	o.Answer, o.Reason = &a, fmt.Sprintf("the answer of %d bytes is too large to be recorded", len(b))
+	return json.Marshal(o)
 }
 
-// Lose records that it is not known whether the order ran.
-func (r *Recorder) Lose(ctx context.Context, o Order, reason string) (Order, error) {
-	n, err := o.withState(triggerLose)
+// retain returns the lease of the orders that end now.
+func (r *Recorder) retain(ctx context.Context) (string, error) {
+	r.mu.Lock()
+	lease, granted := r.lease, r.granted
+	r.mu.Unlock()
+	now := r.cfg.Now()
+	if lease != "" && now.Sub(granted) < retentionBucket {
+		return lease, nil
+	}
+	l, err := r.cfg.Store.Grant(ctx, Retention+retentionBucket)
 	if err != nil {
-		return o, err
+		return "", err
 	}
-	n.Reason = reason
-	return r.step(ctx, o, n)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease, r.granted = l.ID, now
+	return l.ID, nil
 }
 
-// Refuse records that the order did not run and will not.
-func (r *Recorder) Refuse(ctx context.Context, o Order, reason string) (Order, error) {
-	n, err := o.withState(triggerRefuse)
-	if err != nil {
-		return o, err
+func (r *Recorder) dropLease(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lease == id {
+		r.lease = ""
 	}
-	n.Reason = reason
-	return r.step(ctx, o, n)
 }
 
 // Get returns an order by its id, or an error that wraps storer.ErrNotFound.
 func (r *Recorder) Get(ctx context.Context, id string) (Order, error) {
 	e, err := r.cfg.Store.Get(ctx, KeyPrefix+id)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		r.cfg.Outage.Fail(r.cfg.Now())
+	} else {
+		r.cfg.Outage.End()
+	}
 	if err != nil {
 		return Order{}, fmt.Errorf("order %s: %w", id, err)
 	}
 	return decode(e)
 }
 
-func (r *Recorder) step(ctx context.Context, old, next Order) (Order, error) {
-	next.Changed = r.cfg.Now()
-	return r.swap(ctx, next, old.revision)
-}
-
-func (r *Recorder) swap(ctx context.Context, o Order, expect uint64) (Order, error) {
-	b, err := json.Marshal(o)
-	if err != nil {
-		return o, fmt.Errorf("encode order %s: %w", o.ID, err)
-	}
-	e, err := r.cfg.Store.Swap(ctx, storer.Write{Key: KeyPrefix + o.ID, Value: b, Expect: expect})
-	if err != nil {
-		return o, fmt.Errorf("order %s: %w", o.ID, err)
-	}
-	o.revision = e.Revision
-	return o, nil
-}
+// RetryAfter estimates when the store can be asked again.
+func (r *Recorder) RetryAfter() time.Duration { return r.cfg.Outage.RetryAfter(r.cfg.Now()) }
 
 func decode(e storer.Entry) (Order, error) {
 	var o Order
 	if err := json.Unmarshal(e.Value, &o); err != nil {
 		return o, fmt.Errorf("decode %s: %w", e.Key, err)
 	}
-	o.revision = e.Revision
+	o.revision, o.write = e.Revision, e.Write
 	return o, nil
 }
--- a/internal/traffic/recorder/sender.go
+++ b/internal/traffic/recorder/sender.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"pomelotiller/internal/platform/inferrer"
@@ -17,7 +19,10 @@
 
 const (
 	sendDialTimeout = time.Second
-	maxAnswerBytes  = 512 << 10
+	statusTimeout   = time.Second
+	// maxAnswerBytes bounds an answer. What does not fit a record is passed on
+	// to the caller who waits, but not kept.
+	maxAnswerBytes = 4 << 20
 )
 
 // SendError is a failed attempt to send an order, with what it means for it.
@@ -32,14 +37,63 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
+// Services carries orders to services.
+type Services interface {
+	// Connect connects to a service. Until Send nothing of an order goes to it,
+	// so that a failure to connect leaves the order free to go elsewhere.
+	Connect(ctx context.Context, address string) (Sender, error)
+	// Status asks a service for the outcome of an order.
+	Status(ctx context.Context, address, path string) (Report, error)
+}
+
+// Sender is a fresh connection to a service that carries one order.
+type Sender interface {
+	// Send sends a dispatched order. Its error is a *SendError.
+	Send(ctx context.Context, o Order, header http.Header) (Answer, error)
+	Close() error
+}
+
+// HTTPServices carries orders over HTTP.
+type HTTPServices struct{}
+
+// Connect implements Services.
+func (HTTPServices) Connect(ctx context.Context, address string) (Sender, error) {
+	return Connect(ctx, address)
+}
+
+// Status implements Services. Each look-up uses a connection of its own, since
+// an older one may have gone silent.
+func (HTTPServices) Status(ctx context.Context, address, path string) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return Report{}, fmt.Errorf("status look-up: %w", err)
+	}
+	res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return Report{}, fmt.Errorf("status look-up: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return Report{}, fmt.Errorf("status look-up: status %d", res.StatusCode)
+	}
+	var p Report
+	if err := json.NewDecoder(io.LimitReader(res.Body, 2*maxAnswerBytes)).Decode(&p); err != nil {
+		return Report{}, fmt.Errorf("status look-up: %w", err)
+	}
+	return p, nil
+}
+
 // Connection is a fresh connection to a service that carries one order.
 type Connection struct {
 	conn    net.Conn
 	address string
+	// touched is set before the first byte is written.
+	touched atomic.Bool
 }
 
-// Connect connects to a service. Until Send nothing of an order goes over it, so
-// that a failure to connect leaves the order free to go elsewhere.
+// Connect connects to a service.
 func Connect(ctx context.Context, address string) (*Connection, error) {
 	conn, err := (&net.Dialer{Timeout: sendDialTimeout}).DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -48,14 +102,26 @@
 	return &Connection{conn: conn, address: address}, nil
 }
 
+// touchConn notes that bytes may have left.
+type touchConn struct {
+	net.Conn
+	touched *atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c touchConn) Write(b []byte) (int, error) {
+	c.touched.Store(true)
+	return c.Conn.Write(b)
+}
+
 // Close closes the connection.
-func (c *Connection) Close() { c.conn.Close() }
+func (c *Connection) Close() error { return c.conn.Close() }
 
 // Send sends a dispatched order, once. Its connection and its body cannot be
 // used again, because net/http silently repeats a request with an
 // Idempotency-Key on a reused connection that breaks.
 func (c *Connection) Send(ctx context.Context, o Order, header http.Header) (Answer, error) {
-	t := &http.Transport{DisableKeepAlives: true, DialContext: onceDialer(c.conn)}
+	t := &http.Transport{DisableKeepAlives: true, DialContext: onceDialer(touchConn{c.conn, &c.touched})}
 	req, err := http.NewRequestWithContext(ctx, o.Request.Method, "http://"+c.address+o.Request.Path, io.NopCloser(bytes.NewReader(o.Request.Body)))
 	if err != nil {
 		return Answer{}, &SendError{Run: refuser.NotRun, Err: err}
@@ -70,6 +136,9 @@
 	req.Header.Set(inferrer.HeaderRequest, o.ID)
 	req.Header.Set(inferrer.HeaderAttempt, strconv.Itoa(o.Attempt))
 	res, err := t.RoundTrip(req)
+	if err != nil && !c.touched.Load() {
+		return Answer{}, &SendError{Run: refuser.NotRun, Err: err}
+	}
 	if err != nil {
 		return Answer{}, &SendError{Run: refuser.Unknown, Err: err}
 	}
@@ -96,11 +165,11 @@
 	if err != nil {
 		return Answer{}, &SendError{Run: refuser.Unknown, Err: fmt.Errorf("%w: %w", inferrer.ErrTruncated, err)}
 	}
-	if len(b) > maxAnswerBytes {
-		return Answer{}, &SendError{Run: refuser.Unknown, Err: fmt.Errorf("answer is over %d bytes", maxAnswerBytes)}
-	}
 	if res.Header.Get(inferrer.HeaderRequest) != o.ID || res.Header.Get(inferrer.HeaderAttempt) != strconv.Itoa(o.Attempt) {
 		return Answer{}, &SendError{Run: refuser.Unknown, Err: inferrer.ErrCrossed}
 	}
+	if len(b) > maxAnswerBytes {
+		return Answer{Status: res.StatusCode, Omitted: true}, nil
+	}
 	return Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: b}, nil
 }
