--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -70,6 +70,7 @@
 	prober    *prober.Prober
 	relayer   *relayer.Relayer
 	listener  *listener.Listener
+	orders    *recorder.Runner
 	informer  *informer.Informer
 	moves     moves
 	drain     chan struct{}
@@ -140,13 +141,13 @@
 		Report:    d.reported,
 	})
 	d.gossiper.Subscribe(leavingTopic, d.learnLeaving)
-	d.buildTraffic(store, fmt.Sprintf("%s/%d", s.Name, incarnation))
+	d.buildTraffic(store, recorder.OwnerName(s.Name, incarnation))
 }
 
 func (d *Daemon) buildTraffic(store storer.Store, owner string) {
 	s := d.settings
 	rt := router.New(router.Config{})
-	rec := recorder.New(recorder.Config{Store: store, Owner: owner})
+	rec := d.buildOrders(store, owner, rt)
 	d.relayer = relayer.New(relayer.Config{
 		View: d.holder.Load, Router: rt, Domain: s.Domain, HTTP: inferrer.NewHTTP(), Tracer: d.tracer, Registry: d.registry,
 		Leaving: d.refusedByLeaving, Outcomes: d.moves.follower,
@@ -154,9 +155,7 @@
 	d.listener = listener.New(listener.Config{
 		View: d.holder.Load, Admitter: admitter.New(), Recorder: rec, Tracer: d.tracer, Registry: d.registry,
 		Relayer: d.relayer,
-		Runner: recorder.NewRunner(recorder.RunnerConfig{
-			Recorder: rec, Router: rt, View: d.holder.Load, Domain: s.Domain, Tracer: d.tracer, Registry: d.registry,
-		}),
+		Runner:  d.orders,
 	})
 	d.informer = informer.New(informer.Config{
 		View: d.holder.Load, Current: d.current, Publisher: d.newPublisher(store),
@@ -208,7 +207,7 @@
 	var g errgroup.Group
 	for _, f := range append([]func(context.Context) error{
 		d.messenger.Run, d.gossiper.Run, d.control.Run, d.control.RunHosts,
-		d.watcher.RunStore, d.watcher.RunPeers, d.prober.Run, d.serveOperators,
+		d.watcher.RunStore, d.watcher.RunPeers, d.prober.Run, d.serveOperators, d.orders.Run,
 	}, d.moves.runs()...) {
 		g.Go(func() error {
 			defer endServing()
@@ -223,12 +222,14 @@
 		}
 		d.log("msg", "draining")
 		d.gossiper.SetState(viewer.StateLeaving)
+		d.orders.Release()
 		endServing()
 		return nil
 	})
 	g.Go(func() error {
 		defer d.end()
 		err := d.listener.Serve(serving, d.callers, d.settings.Drain.Std())
+		d.drainOrders()
 		d.gossiper.SetState(viewer.StateGone)
 		time.Sleep(leaveTime)
 		return err
