Stop listening only when the balancer has stopped sending

Cause: a planned stop slept for the time of the drain setting and closed the port; a balancer that was two seconds later than the setting got 'connection refused' for every further request (TestSlowBalancer, settings of 1 s, sending for 3 s). A longer sleep was ruled out: no length is right for all balancers.

Now the daemon announces that it leaves, is not ready, asks callers not to keep their connections, and listens until no request has come for that time, bounded at 30 times as long. Work registered with onStop is done while the requests in flight finish, orders of callers that do not wait are waited for, operators' calls are finished, and the control parts end last.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,8 +40,6 @@
 const (
 	operatorHeaderTimeout = 10 * time.Second
 	flushTimeout          = 2 * time.Second
-	// leaveTime is how long a leaving daemon goes on gossiping that it leaves.
-	leaveTime = time.Second
 )
 
 // Config configures a Daemon.
@@ -72,6 +69,8 @@
 	listener  *listener.Listener
 	informer  *informer.Informer
 	drain     chan struct{}
+	// stopWork is done by a planned stop, before the control parts end.
+	stopWork []func(ctx context.Context)
 	// leavings holds the keys of the endpoints known to be leaving.
 	leavings sync.Map
 	// ctx bounds the life of the control parts; end ends it.
@@ -153,7 +152,7 @@
 	})
 	d.listener = listener.New(listener.Config{
 		View: d.holder.Load, Admitter: admitter.New(), Recorder: rec, Tracer: d.tracer, Registry: d.registry,
-		Relayer: d.relayer,
+		Relayer: d.relayer, Stopping: d.stopping,
 		Runner: recorder.NewRunner(recorder.RunnerConfig{
 			Recorder: rec, Router: rt, View: d.holder.Load, Domain: s.Domain, Tracer: d.tracer, Registry: d.registry,
 		}),
@@ -228,21 +227,13 @@
 		})
 	}
 	g.Go(func() error {
-		select {
-		case <-stop.Done():
-		case <-d.drain:
-		case <-serving.Done():
-		}
-		d.log("msg", "draining")
-		d.gossiper.SetState(viewer.StateLeaving)
-		endServing()
+		defer endServing()
+		d.awaitStop(stop, serving)
 		return nil
 	})
 	g.Go(func() error {
 		defer d.end()
-		err := d.listener.Serve(serving, d.callers, d.settings.Drain.Std())
-		time.Sleep(leaveTime)
-		return err
+		return d.listener.Serve(serving, d.callers, d.settings.Drain.Std())
 	})
 	d.membersChanged()
 	d.log("msg", "serving", "callers", d.Callers(), "operators", d.Operators(), "peers", d.Peers())
@@ -253,16 +244,6 @@
 	return errors.Join(err, d.flush(flushCtx))
 }
 
-func (d *Daemon) serveOperators(ctx context.Context) error {
-	srv := &http.Server{Handler: d.informer.Handler(), ReadHeaderTimeout: operatorHeaderTimeout}
-	stop := context.AfterFunc(ctx, func() { srv.Close() })
-	defer stop()
-	if err := srv.Serve(d.operators); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve operators: %w", err)
-	}
-	return nil
-}
-
 func (d *Daemon) log(fields ...any) {
 	// A logger that fails has nowhere to say so.
 	_ = level.Info(d.logger).Log(fields...)
--- a/internal/traffic/listener/listener.go
+++ b/internal/traffic/listener/listener.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -44,6 +42,9 @@
 	// Recorder keeps orders, and Runner takes them to their end.
 	Recorder *recorder.Recorder
 	Runner   *recorder.Runner
+	// Stopping, if set, is called by a planned stop once no new request comes,
+	// while those in flight finish.
+	Stopping func(ctx context.Context)
 	// Tracer starts a span for each request.
 	Tracer tracer.Tracer
 	// Registry receives counters.
@@ -55,6 +56,8 @@
 	cfg      Config
 	draining atomic.Bool
 	active   atomic.Int64
+	// latest is when the last request came, in nanoseconds since 1970.
+	latest atomic.Int64
 }
 
 // New returns a listener.
@@ -82,35 +85,6 @@
 	return r
 }
 
-// Serve serves callers on ln until ctx ends. It then goes on for the time of
-// drain, not ready any more, and returns when the last request is answered.
-func (l *Listener) Serve(ctx context.Context, ln net.Listener, drain time.Duration) error {
-	srv := &http.Server{Handler: l.Handler(), ReadHeaderTimeout: headerTimeout}
-	done := make(chan error, 1)
-	go func() { done <- srv.Serve(ln) }()
-	select {
-	case err := <-done:
-		return fmt.Errorf("serve callers: %w", err)
-	case <-ctx.Done():
-	}
-	l.Drain()
-	time.Sleep(drain)
-	if err := srv.Shutdown(context.WithoutCancel(ctx)); err != nil {
-		return fmt.Errorf("stop serving callers: %w", err)
-	}
-	if err := <-done; !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve callers: %w", err)
-	}
-	return nil
-}
-
-// Drain makes the daemon report that it is not ready; requests that still come
-// are served.
-func (l *Listener) Drain() { l.draining.Store(true) }
-
-// Active returns the number of requests being served.
-func (l *Listener) Active() int { return int(l.active.Load()) }
-
 func (l *Listener) serveReady(w http.ResponseWriter, _ *http.Request) {
 	switch {
 	case l.draining.Load():
@@ -140,7 +114,7 @@
 // observe counts and traces a request.
 func (l *Listener) observe(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		l.active.Add(1)
+		l.begin(w)
 		defer l.active.Add(-1)
 		ctx := l.cfg.Tracer.Propagation.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 		ctx, span := l.cfg.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
