--- a/internal/standin/generator/faults.go
+++ b/internal/standin/generator/faults.go
@@ -180,9 +180,9 @@
 }
 
 // writeEnd writes the usage, if the request asks for it, and the end mark.
-func writeEnd(w http.ResponseWriter, id string, p inferrer.Prompt, prompt string, n int) {
+func writeEnd(w http.ResponseWriter, id string, p inferrer.Prompt, n int) {
 	if p.StreamOptions.IncludeUsage {
-		u := inferrer.Usage{PromptTokens: PromptTokens(prompt), CompletionTokens: n}
+		u := inferrer.Usage{PromptTokens: inferrer.Tokens(p.Text()), CompletionTokens: n}
 		u.TotalTokens = u.PromptTokens + u.CompletionTokens
 		c := inferrer.Chunk{ID: id, Object: "chat.completion.chunk", Model: p.Model, Token: n, Choices: []inferrer.Choice{}, Usage: &u}
 		if writeChunk(w, c) != nil {
