--- a/internal/daemon/verifier/drain_test.go
+++ b/internal/daemon/verifier/drain_test.go
@@ -37,15 +37,15 @@
 		if i%2 == 0 {
 			client = fresh
 		}
-		if err := chatOnce(client, address); err != nil {
+		if err := chatOnce(client, address, 3); err != nil {
 			wrong = append(wrong, fmt.Sprintf("request %d: %v", i, err))
 		}
 	}
 }
 
-func chatOnce(client *http.Client, address string) error {
+func chatOnce(client *http.Client, address string, tokens int) error {
 	req, err := http.NewRequest(http.MethodPost, "http://"+address+inferrer.PathChat,
-		strings.NewReader(`{"model":"chat","max_tokens":3,"messages":[]}`))
+		strings.NewReader(fmt.Sprintf(`{"model":"chat","max_tokens":%d,"messages":[]}`, tokens)))
 	if err != nil {
 		return err
 	}
--- a/internal/platform/inferrer/client.go
+++ b/internal/platform/inferrer/client.go
@@ -171,25 +171,25 @@
 }
 
 // Next implements Stream.
-func (s *stream) Next() (Chunk, error) {
+func (s *stream) Next() (Piece, error) {
 	for {
 		line, err := s.readLine()
 		if err != nil {
-			return Chunk{}, fmt.Errorf("%w: %w", ErrTruncated, err)
+			return Piece{}, fmt.Errorf("%w: %w", ErrTruncated, err)
 		}
 		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), dataPrefix)
 		if !ok {
 			continue
 		}
 		if string(data) == endMark {
-			return Chunk{}, io.EOF
+			return Piece{}, io.EOF
 		}
-		c := Chunk{Raw: data}
+		c := Piece{Raw: data}
 		if err := json.Unmarshal(data, &c); err != nil {
-			return Chunk{}, fmt.Errorf("%w: decode chunk: %w", ErrTruncated, err)
+			return Piece{}, fmt.Errorf("%w: decode chunk: %w", ErrTruncated, err)
 		}
 		if c.ID != s.request {
-			return Chunk{}, fmt.Errorf("%w: got chunk of %q, want %q", ErrCrossed, c.ID, s.request)
+			return Piece{}, fmt.Errorf("%w: got chunk of %q, want %q", ErrCrossed, c.ID, s.request)
 		}
 		return c, nil
 	}
--- a/internal/platform/inferrer/inferrer.go
+++ b/internal/platform/inferrer/inferrer.go
@@ -81,11 +81,34 @@
 	// Usage is set on an event of its own, without choices, at the end of the
 	// answer.
 	Usage *Usage `json:"usage,omitempty"`
-	// Raw is the event as the engine sent it. It is valid until the stream's
+}
+
+// Piece is a chunk of which only the fields are decoded that carrying it needs.
+type Piece struct {
+	ID      string        `json:"id"`
+	Model   string        `json:"model"`
+	Token   int           `json:"token"`
+	Choices []PieceChoice `json:"choices"`
+	Usage   *Usage        `json:"usage"`
+	// Raw is the chunk as the engine sent it. It is valid until the stream's
 	// next call of Next.
 	Raw []byte `json:"-"`
 }
 
+// PieceChoice is the part of a Choice that a Piece needs.
+type PieceChoice struct {
+	FinishReason *string `json:"finish_reason"`
+}
+
+// Chunk decodes the whole chunk.
+func (p Piece) Chunk() (Chunk, error) {
+	var c Chunk
+	if err := json.Unmarshal(p.Raw, &c); err != nil {
+		return c, fmt.Errorf("decode chunk: %w", err)
+	}
+	return c, nil
+}
+
 // Choice is one alternative of an answer; engines give exactly one.
 type Choice struct {
 	Index        int      `json:"index"`
@@ -191,10 +214,10 @@
 
 // Stream yields the chunks of one attempt in the order they arrive.
 type Stream interface {
-	// Next returns the next chunk. It returns io.EOF after the engine's own
+	// Next returns the next piece. It returns io.EOF after the engine's own
 	// end mark, and another error if the stream broke off before it.
-	Next() (Chunk, error)
-	// Ready reports whether Next has a further event at hand.
+	Next() (Piece, error)
+	// Ready reports whether Next has a further piece at hand.
 	Ready() bool
 	// Close ends the stream and its connection.
 	Close()
--- a/internal/standin/generator/batch_test.go
+++ b/internal/standin/generator/batch_test.go
@@ -180,7 +180,11 @@
 	}
 	defer s.Close()
 	var got string
-	for chunk, err := s.Next(); err == nil; chunk, err = s.Next() {
+	for piece, err := s.Next(); err == nil; piece, err = s.Next() {
+		chunk, err := piece.Chunk()
+		if err != nil {
+			t.Fatal(err)
+		}
 		got += chunk.Choices[0].Text
 	}
 	if want := strings.TrimPrefix(Text("v", text, 4), Token("v", text, 0)); got != want {
--- a/internal/traffic/listener/answer.go
+++ b/internal/traffic/listener/answer.go
@@ -57,40 +57,40 @@
 	return append([]byte(`"model":`), b...)
 }
 
-// Chunk implements relayer.Sink.
-func (s *eventSink) Chunk(c inferrer.Chunk) error {
-	if len(c.Choices) == 0 && !s.usage {
+// Piece implements relayer.Sink.
+func (s *eventSink) Piece(e inferrer.Piece) error {
+	if len(e.Choices) == 0 && !s.usage {
 		return nil
 	}
-	raw, err := s.rename(c)
+	raw, err := s.rename(e)
 	if err != nil {
 		return err
 	}
-	return s.event(raw)
+	return s.write(raw)
 }
 
 // rename returns the event with the route as its model. All other fields stay
 // as the engine sent them.
-func (s *eventSink) rename(c inferrer.Chunk) ([]byte, error) {
-	if s.replaced == nil || s.version != c.Model {
-		s.version, s.replaced = c.Model, modelField(c.Model)
+func (s *eventSink) rename(e inferrer.Piece) ([]byte, error) {
+	if s.replaced == nil || s.version != e.Model {
+		s.version, s.replaced = e.Model, modelField(e.Model)
 	}
-	if i := bytes.Index(c.Raw, s.replaced); i >= 0 {
-		s.buf = append(s.buf[:0], c.Raw[:i]...)
+	if i := bytes.Index(e.Raw, s.replaced); i >= 0 {
+		s.buf = append(s.buf[:0], e.Raw[:i]...)
 		s.buf = append(s.buf, s.model...)
-		s.buf = append(s.buf, c.Raw[i+len(s.replaced):]...)
+		s.buf = append(s.buf, e.Raw[i+len(s.replaced):]...)
 		return s.buf, nil
 	}
 	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(c.Raw, &fields); err != nil {
+	if err := json.Unmarshal(e.Raw, &fields); err != nil {
 		return nil, err
 	}
 	fields["model"] = s.model[len(`"model":`):]
 	return json.Marshal(fields)
 }
 
-// event writes one event; Flush sends it.
-func (s *eventSink) event(data []byte) error {
+// write writes one event; Flush sends it.
+func (s *eventSink) write(data []byte) error {
 	if !s.started {
 		s.w.Header().Set("Content-Type", "text/event-stream")
 		s.w.Header().Set("Cache-Control", "no-store")
@@ -135,7 +135,7 @@
 	refusal := &refuser.Refusal{Status: http.StatusInternalServerError, Title: "internal", Detail: "the answer broke off", Run: refuser.Ran}
 	errors.As(err, &refusal)
 	if b, err := json.Marshal(errorEvent{Error: refusal.Problem()}); err == nil {
-		_ = sink.event(b)
+		_ = sink.write(b)
 	}
 }
 
@@ -146,8 +146,12 @@
 	chat   bool
 }
 
-// Chunk implements relayer.Sink.
-func (s *wholeSink) Chunk(c inferrer.Chunk) error {
+// Piece implements relayer.Sink.
+func (s *wholeSink) Piece(e inferrer.Piece) error {
+	c, err := e.Chunk()
+	if err != nil {
+		return err
+	}
 	if c.Usage != nil {
 		s.answer.Usage.PromptTokens = c.Usage.PromptTokens
 	}
--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -155,13 +155,13 @@
 func (e *sinkError) Error() string { return e.err.Error() }
 func (e *sinkError) Unwrap() error { return e.err }
 
-// pass hands chunks from the stream to the sink until the end mark. Tokens that
+// pass hands pieces from the stream to the sink until the end mark. Tokens that
 // were passed on before are skipped; a gap ends the attempt. Once the finish
 // reason was passed on the answer is whole, however the connection ends.
 func pass(s inferrer.Stream, p *progress, sink Sink, watch *watchdog) error {
 	for {
-		c, err := s.Next()
-		if p.finished && (err != nil || len(c.Choices) > 0) {
+		e, err := s.Next()
+		if p.finished && (err != nil || len(e.Choices) > 0) {
 			return nil
 		}
 		if errors.Is(err, io.EOF) {
@@ -171,7 +171,7 @@
 			return err
 		}
 		watch.reset()
-		if err := passChunk(c, p, sink); err != nil {
+		if err := passPiece(e, p, sink); err != nil {
 			return err
 		}
 		if s.Ready() && !p.finished {
@@ -183,23 +183,23 @@
 	}
 }
 
-// passChunk hands one chunk to the sink if it is the next one.
-func passChunk(c inferrer.Chunk, p *progress, sink Sink) error {
-	isUsage := len(c.Choices) == 0 && c.Usage != nil
+// passPiece hands one piece to the sink if it is the next one.
+func passPiece(e inferrer.Piece, p *progress, sink Sink) error {
+	isUsage := len(e.Choices) == 0 && e.Usage != nil
 	switch {
 	case isUsage && !p.finished:
 		return nil
-	case !isUsage && c.Token < p.next:
+	case !isUsage && e.Token < p.next:
 		return nil
-	case !isUsage && (c.Token > p.next || len(c.Choices) != 1):
+	case !isUsage && (e.Token > p.next || len(e.Choices) != 1):
 		return fmt.Errorf("%w: got token %d with %d choices, want token %d with one",
-			inferrer.ErrTruncated, c.Token, len(c.Choices), p.next)
+			inferrer.ErrTruncated, e.Token, len(e.Choices), p.next)
 	}
-	if err := sink.Chunk(c); err != nil {
+	if err := sink.Piece(e); err != nil {
 		return &sinkError{err}
 	}
 	if !isUsage {
-		p.advance(c.Choices[0].FinishReason != nil)
+		p.advance(e.Choices[0].FinishReason != nil)
 	}
 	return nil
 }
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -46,11 +46,11 @@
 	Priority loader.Priority
 }
 
-// Sink takes the chunks of an answer, in order and each once. A chunk without
+// Sink takes the pieces of an answer, in order and each once. A piece without
 // choices carries the usage.
 type Sink interface {
-	Chunk(c inferrer.Chunk) error
-	// Flush is called when no further chunk is at hand.
+	Piece(e inferrer.Piece) error
+	// Flush is called when no further piece is at hand.
 	Flush() error
 }
 
--- a/internal/traffic/relayer/relayer_test.go
+++ b/internal/traffic/relayer/relayer_test.go
@@ -91,7 +91,11 @@
 	n     int
 }
 
-func (s *textSink) Chunk(c inferrer.Chunk) error {
+func (s *textSink) Piece(e inferrer.Piece) error {
+	c, err := e.Chunk()
+	if err != nil {
+		return err
+	}
 	if c.Usage != nil {
 		s.usage = c.Usage
 	}
