--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,8 +40,8 @@
 const (
 	operatorHeaderTimeout = 10 * time.Second
 	flushTimeout          = 2 * time.Second
-	// leaveTime is how long a leaving daemon goes on gossiping that it leaves.
-	leaveTime = time.Second
+	// leaveTime is how long a stopped daemon goes on gossiping that it is gone.
+	leaveTime = 500 * time.Millisecond
 )
 
 // Config configures a Daemon.
@@ -74,6 +73,8 @@
 	informer  *informer.Informer
 	moves     moves
 	drain     chan struct{}
+	// stopWork is done by a planned stop, before the control parts end.
+	stopWork []func(ctx context.Context)
 	// leavings holds the keys of the endpoints known to be leaving.
 	leavings sync.Map
 	// ctx bounds the life of the control parts; end ends it.
@@ -154,8 +155,7 @@
 	})
 	d.listener = listener.New(listener.Config{
 		View: d.holder.Load, Admitter: admitter.New(), Recorder: rec, Tracer: d.tracer, Registry: d.registry,
-		Relayer: d.relayer,
-		Runner:  d.orders,
+		Relayer: d.relayer, Stopping: d.stopping, Runner: d.orders,
 	})
 	d.informer = informer.New(informer.Config{
 		View: d.holder.Load, Current: d.current, Publisher: d.newPublisher(store),
@@ -215,15 +215,8 @@
 		})
 	}
 	g.Go(func() error {
-		select {
-		case <-stop.Done():
-		case <-d.drain:
-		case <-serving.Done():
-		}
-		d.log("msg", "draining")
-		d.gossiper.SetState(viewer.StateLeaving)
-		d.orders.Release()
-		endServing()
+		defer endServing()
+		d.awaitStop(stop, serving)
 		return nil
 	})
 	g.Go(func() error {
@@ -243,16 +236,6 @@
 	return errors.Join(err, d.flush(flushCtx))
 }
 
-func (d *Daemon) serveOperators(ctx context.Context) error {
-	srv := &http.Server{Handler: d.informer.Handler(), ReadHeaderTimeout: operatorHeaderTimeout}
-	stop := context.AfterFunc(ctx, func() { srv.Close() })
-	defer stop()
-	if err := srv.Serve(d.operators); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve operators: %w", err)
-	}
-	return nil
-}
-
 func (d *Daemon) log(fields ...any) {
 	// A logger that fails has nowhere to say so.
 	_ = level.Info(d.logger).Log(fields...)
--- a/internal/standin/generator/handler.go
+++ b/internal/standin/generator/handler.go
@@ -137,7 +137,7 @@
 	if from < n && !g.streamTokens(ctx, w, id, p, from, n, priority, wait, slow) {
 		return
 	}
-	writeEnd(w, id, p, p.Text(), max(n, from))
+	writeEnd(w, id, p, max(n, from))
 }
 
 // streamTokens writes tokens from to n as the batch yields them, and reports
@@ -150,7 +150,7 @@
 	tokens := make(chan int, n-from)
 	j := &Job{
 		ID: id, Priority: priority, Hashes: inferrer.BlockHashes(p.Model, prompt), PromptTokens: inferrer.Tokens(prompt),
-		From: from, Max: n, Slow: slow, Emit: func(n int) { tokens <- n },
+		From: from, Max: n, Slow: slow, Imported: g.caches.covered(id), Emit: func(n int) { tokens <- n },
 	}
 	if err := g.submit(j); err != nil {
 		return false
