--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,8 +40,8 @@
 const (
 	operatorHeaderTimeout = 10 * time.Second
 	flushTimeout          = 2 * time.Second
-	// leaveTime is how long a leaving daemon goes on gossiping that it leaves.
-	leaveTime = time.Second
+	// leaveTime is how long a stopped daemon goes on gossiping that it is gone.
+	leaveTime = 500 * time.Millisecond
 )
 
 // Config configures a Daemon.
@@ -70,8 +69,12 @@
 	prober    *prober.Prober
 	relayer   *relayer.Relayer
 	listener  *listener.Listener
+	orders    *recorder.Runner
 	informer  *informer.Informer
+	moves     moves
 	drain     chan struct{}
+	// stopWork is done by a planned stop, before the control parts end.
+	stopWork []func(ctx context.Context)
 	// leavings holds the keys of the endpoints known to be leaving.
 	leavings sync.Map
 	// ctx bounds the life of the control parts; end ends it.
@@ -127,7 +130,9 @@
 		Self: self, Sender: d.messenger, Caller: d.messenger, Seeds: d.seeds, Restarted: d.messenger.Forget,
 		Changed: d.membersChanged, Logger: d.logger, Registry: d.registry,
 	})
+	d.buildMoves(store)
 	d.control = controller.New(controller.Config{
+		Splits: d.moves.follower.Splits,
 		Holder: &d.holder, Lister: leavingLister{lister.NewClient(lister.ClientConfig{Address: s.Platform}), d},
 		Adopted: d.adopted, Logger: d.logger, Registry: d.registry,
 	})
@@ -137,27 +142,24 @@
 		Report:    d.reported,
 	})
 	d.gossiper.Subscribe(leavingTopic, d.learnLeaving)
-	d.buildTraffic(store, fmt.Sprintf("%s/%d", s.Name, incarnation))
+	d.buildTraffic(store, recorder.OwnerName(s.Name, incarnation))
 }
 
 func (d *Daemon) buildTraffic(store storer.Store, owner string) {
 	s := d.settings
 	rt := router.New(router.Config{})
-	rec := recorder.New(recorder.Config{Store: store, Owner: owner})
+	rec := d.buildOrders(store, owner, rt)
 	d.relayer = relayer.New(relayer.Config{
 		View: d.holder.Load, Router: rt, Domain: s.Domain, HTTP: inferrer.NewHTTP(), Tracer: d.tracer, Registry: d.registry,
-		Leaving: d.refusedByLeaving,
+		Leaving: d.refusedByLeaving, Outcomes: d.moves.follower,
 	})
 	d.listener = listener.New(listener.Config{
 		View: d.holder.Load, Admitter: admitter.New(), Recorder: rec, Tracer: d.tracer, Registry: d.registry,
-		Relayer: d.relayer,
-		Runner: recorder.NewRunner(recorder.RunnerConfig{
-			Recorder: rec, Router: rt, View: d.holder.Load, Domain: s.Domain, Tracer: d.tracer, Registry: d.registry,
-		}),
+		Relayer: d.relayer, Stopping: d.stopping, Runner: d.orders,
 	})
 	d.informer = informer.New(informer.Config{
 		View: d.holder.Load, Current: d.current, Publisher: d.newPublisher(store),
-		Recorder: rec, Drain: d.Drain, Registry: d.registry,
+		Recorder: rec, Drain: d.Drain, Registry: d.registry, Moves: d.moves.follower,
 	})
 }
 
@@ -203,29 +205,24 @@
 	defer endServing()
 	defer d.end()
 	var g errgroup.Group
-	for _, f := range []func(context.Context) error{
+	for _, f := range append([]func(context.Context) error{
 		d.messenger.Run, d.gossiper.Run, d.control.Run, d.control.RunHosts,
-		d.watcher.RunStore, d.watcher.RunPeers, d.prober.Run, d.serveOperators,
-	} {
+		d.watcher.RunStore, d.watcher.RunPeers, d.prober.Run, d.serveOperators, d.orders.Run,
+	}, d.moves.runs()...) {
 		g.Go(func() error {
 			defer endServing()
 			return f(d.ctx)
 		})
 	}
 	g.Go(func() error {
-		select {
-		case <-stop.Done():
-		case <-d.drain:
-		case <-serving.Done():
-		}
-		d.log("msg", "draining")
-		d.gossiper.SetState(viewer.StateLeaving)
-		endServing()
+		defer endServing()
+		d.awaitStop(stop, serving)
 		return nil
 	})
 	g.Go(func() error {
 		defer d.end()
 		err := d.listener.Serve(serving, d.callers, d.settings.Drain.Std())
+		d.drainOrders()
 		d.gossiper.SetState(viewer.StateGone)
 		time.Sleep(leaveTime)
 		return err
@@ -239,16 +236,6 @@
 	return errors.Join(err, d.flush(flushCtx))
 }
 
-func (d *Daemon) serveOperators(ctx context.Context) error {
-	srv := &http.Server{Handler: d.informer.Handler(), ReadHeaderTimeout: operatorHeaderTimeout}
-	stop := context.AfterFunc(ctx, func() { srv.Close() })
-	defer stop()
-	if err := srv.Serve(d.operators); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve operators: %w", err)
-	}
-	return nil
-}
-
 func (d *Daemon) log(fields ...any) {
 	// A logger that fails has nowhere to say so.
 	_ = level.Info(d.logger).Log(fields...)
--- a/internal/traffic/relayer/progress.go
+++ b/internal/traffic/relayer/progress.go
@@ -41,6 +41,8 @@
 	// cancels holds, by engine, a channel that closes once the engine was told
 	// to cancel its last attempt.
 	cancels map[string]<-chan struct{}
+	// seen measures the present attempt.
+	seen observation
 }
 
 func newProgress() *progress {
@@ -53,6 +55,7 @@
 // advance notes that a token was passed on.
 func (p *progress) advance(finished bool) {
 	p.next++
+	p.seen.token()
 	p.finished = finished
 	p.run = refuser.Ran
 	if !p.stalled.IsZero() {
