Hold host list and store to a contract, also under lost answers

Cause, seen in TestListFails first: an answer of 'null' passed for an empty list and would have dropped every host; errors of the list had no type. TestHistoryUnderLostAnswers: 4 clients, 25 writes each, every answer lost: what each client was told agrees with the writes that took effect, repeated or given up.

--- a/internal/platform/lister/lister.go
+++ b/internal/platform/lister/lister.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -49,6 +50,9 @@
 	Hosts(ctx context.Context) ([]Host, error)
 }
 
+// ErrUnavailable says that the list could not be read in full.
+var ErrUnavailable = errors.New("host list unavailable")
+
 // ClientConfig configures a Client.
 type ClientConfig struct {
 	// Address is the host and port of the platform.
@@ -73,21 +77,33 @@
 
 // Hosts implements Lister.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	hosts, err := c.read(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return hosts, nil
+}
+
+func (c *Client) read(ctx context.Context) ([]Host, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.cfg.Address+"/hosts", nil)
 	if err != nil {
-		return nil, fmt.Errorf("list hosts: %w", err)
+		return nil, err
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("list hosts: %w", err)
+		return nil, err
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("list hosts: status %d", res.StatusCode)
+		return nil, fmt.Errorf("status %d", res.StatusCode)
 	}
 	var hosts []Host
 	if err := json.NewDecoder(res.Body).Decode(&hosts); err != nil {
-		return nil, fmt.Errorf("list hosts: %w", err)
+		return nil, err
+	}
+	if hosts == nil {
+		// An empty list is [], and would drop all hosts.
+		return nil, errors.New("answer holds no list")
 	}
 	return hosts, nil
 }
--- /dev/null
+++ b/internal/platform/storer/history_test.go
@@ -0,0 +1,90 @@
+package storer_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/standin/keeper"
+)
+
+const (
+	historyWriters = 4
+	historyWrites  = 25
+)
+
+// TestHistoryUnderLostAnswers has several clients append to one key by
+// compare-and-swap while answers are lost. The key's final value is then the
+// list of all writes that took effect, and must agree with what each client was
+// told: an applied write is there once, a refused one is not, and one that was
+// not settled is there at most once.
+func TestHistoryUnderLostAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		faults keeper.Faults
+		tries  uint
+	}{
+		{"answers come", keeper.Faults{}, 3},
+		{"every answer lost, writes repeated", keeper.Faults{LoseAnswers: historyWriters * historyWrites}, 3},
+		{"every answer lost, writes given up", keeper.Faults{LoseAnswers: historyWriters * historyWrites}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			k := keeper.New()
+			k.SetFaults(tc.faults)
+			s := httptest.NewServer(k.Handler())
+			t.Cleanup(s.Close)
+			h := &history{told: make(map[string]error)}
+			var wg sync.WaitGroup
+			for client := range historyWriters {
+				c := storer.NewClient(storer.ClientConfig{Address: s.Listener.Addr().String(), Attempts: tc.tries})
+				wg.Go(func() { h.write(t, client, c) })
+			}
+			wg.Wait()
+			e, err := storer.NewClient(storer.ClientConfig{Address: s.Listener.Addr().String()}).Get(t.Context(), "a")
+			if err != nil {
+				t.Fatal(err)
+			}
+			h.check(t, string(e.Value))
+		})
+	}
+}
+
+// history is what the clients were told of their writes.
+type history struct {
+	mu   sync.Mutex
+	told map[string]error
+}
+
+func (h *history) write(t *testing.T, client int, c *storer.Client) {
+	for n := range historyWrites {
+		e, err := c.Get(t.Context(), "a")
+		if err != nil && !errors.Is(err, storer.ErrNotFound) {
+			t.Error(err)
+			return
+		}
+		id := fmt.Sprintf("%d/%d,", client, n)
+		_, err = c.Swap(t.Context(), storer.Write{Key: "a", Value: append(e.Value, id...), Expect: e.Revision})
+		h.mu.Lock()
+		h.told[id] = err
+		h.mu.Unlock()
+	}
+}
+
+func (h *history) check(t *testing.T, final string) {
+	t.Helper()
+	for id, err := range h.told {
+		n := strings.Count(","+final, ","+id)
+		switch {
+		case err == nil && n != 1:
+			t.Errorf("got write %s %d times, want once, as its client was told", id, n)
+		case errors.Is(err, storer.ErrUnsettled) && n > 1:
+			t.Errorf("got write %s %d times, want at most once", id, n)
+		case err != nil && !errors.Is(err, storer.ErrUnsettled) && n != 0:
+			t.Errorf("got write %s %d times, want none: its client was told %v", id, n, err)
+		}
+	}
+}
