Notice the death of a daemon that has just started

Cause: silence counted only for members whose heartbeats had come here before. A daemon that died before its first one, or whose first contact (which bears the mark of a single datagram) came after it, was held for alive until it missed four refreshes: 40 s in a small fleet, minutes in a large one.

Ruled out: a blocked gossip round (stacks of a daemon that missed the death show all parts waiting as they should).

Before: TestNewcomerDies failed with a life of 60 ms, at 3 and at 9 daemons. After: a daemon works out whether a newcomer has it as a neighbour and then counts silence from the start; it passes, and so do both order tests, three times each (go test -count=3 ./internal/daemon/verifier -run 'OwnerKilled|OwnerPaused'). A leaving daemon is nobody's neighbour: the first try forgot that, and the planned leave in TestFaults showed it.

Conclusion: deaths are known within the time of silence and refutation from the first moment on. Not covered: in a large fleet, one that dies while everyone has just started.

--- a/internal/fleet/gossiper/member.go
+++ b/internal/fleet/gossiper/member.go
@@ -108,7 +108,8 @@
 // member is what a daemon knows of another.
 type member struct {
 	record
-	// direct is set while the member's heartbeats come here, the last at heard.
+	// direct is set while the member's heartbeats come here, the last at heard,
+	// or are about to.
 	direct bool
 	heard  time.Time
 	// since is when the state was taken up.
@@ -164,7 +165,8 @@
 		old.advanced = now
 	}
 	if next.Boot != old.Boot {
-		old.booted, old.direct, old.spread = now, false, false
+		old.booted, old.spread = now, false
+		old.direct, old.heard = g.expects(next, now), now
 		g.restarted = append(g.restarted, next.Peers)
 	}
 	if next.State != old.State {
@@ -181,7 +183,9 @@
 }
 
 func (g *Gossiper) addMember(r record, now time.Time) {
-	g.members[r.Name] = &member{record: r, since: now, advanced: now, booted: now}
+	m := &member{record: r, since: now, advanced: now, booted: now, heard: now}
+	g.members[r.Name] = m
+	m.direct = g.expects(r, now)
 	g.logState(r.Name, "unknown", r.State.state())
 	g.note(rumorKey{member: r.Name})
 }
--- a/internal/fleet/gossiper/membership_test.go
+++ b/internal/fleet/gossiper/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -192,6 +193,40 @@
 	await(t, time.Second, "gone known", func() bool { return s.knows(name(4), viewer.StateGone) })
 }
 
+// TestNewcomerDies kills daemons so soon after their start that their heartbeats
+// have hardly begun.
+func TestNewcomerDies(t *testing.T) {
+	for _, lived := range []time.Duration{20, 60, 100, 150, 250, 400} {
+		for _, size := range []int{3, fleetSize} {
+			lived := lived * time.Millisecond
+			t.Run(fmt.Sprintf("size=%d/lived=%s", size, lived), func(t *testing.T) {
+				bubble(t, func(t *testing.T, ctx context.Context) {
+					f := newFabric(1)
+					s := &scene{fabric: f, ctx: ctx, nodes: f.fleet(ctx, size)}
+					time.Sleep(lived)
+					f.stop(s.nodes[0])
+					await(t, deathLimit, "first death known", func() bool { return !s.holds(name(0), viewer.StateAlive) })
+					late := f.start(ctx, size, 1)
+					s.nodes = append(s.nodes, late)
+					time.Sleep(lived)
+					f.stop(late)
+					await(t, deathLimit, "second death known", func() bool { return !s.holds(name(size), viewer.StateAlive) })
+				})
+			})
+		}
+	}
+}
+
+// holds reports whether any node holds a member for a state.
+func (s *scene) holds(member string, state viewer.State) bool {
+	for _, n := range s.nodes {
+		if n.up && n.state(member) == state {
+			return true
+		}
+	}
+	return false
+}
+
 // TestLargeWave loses most daemons at once, and with them the neighbours that
 // would have noticed each other's deaths.
 func TestLargeWave(t *testing.T) {
--- a/internal/fleet/gossiper/neighbor.go
+++ b/internal/fleet/gossiper/neighbor.go
@@ -60,44 +60,76 @@
 	return next, append(others, g.chooseContacts(now)...)
 }
 
-// chooseNeighbours ranks the members by rendezvous hashing, so that the choice
-// changes little when members come and go: some of the own failure domain, some
-// of others, and some that change from time to time.
+// chooseNeighbours returns the addresses of the members that heartbeats go to:
+// those chosen by fixedNeighbours, and some that change from time to time.
 func (g *Gossiper) chooseNeighbours(now time.Time) []string {
-	var present []*member
+	var present []record
 	for _, m := range g.members {
 		if m.present() {
-			present = append(present, m)
+			present = append(present, m.record)
 		}
 	}
-	epoch := strconv.FormatInt(now.UnixNano()/int64(rotation), 10)
-	slices.SortFunc(present, func(a, b *member) int { return cmp.Compare(g.score("", a), g.score("", b)) })
 	var out []string
-	seen := map[string]bool{g.self.Domain: true}
+	for _, r := range fixedNeighbours(g.self, present) {
+		out = append(out, r.Peers)
+	}
+	epoch := strconv.FormatInt(now.UnixNano()/int64(rotation), 10)
+	for _, r := range ranked(g.self, epoch, present) {
+		if len(out) < g.cfg.Fanout && !slices.Contains(out, r.Peers) {
+			out = append(out, r.Peers)
+		}
+	}
+	return out[:min(len(out), g.cfg.Fanout)]
+}
+
+// fixedNeighbours returns the neighbours that a daemon keeps while members stay:
+// some of its own failure domain and some of others.
+func fixedNeighbours(self record, present []record) []record {
+	var out []record
+	seen := map[string]bool{self.Domain: true}
 	local, remote := 0, 0
-	for _, m := range present {
+	for _, r := range ranked(self, "", present) {
 		switch {
-		case m.Domain == g.self.Domain && local < localNeighbours:
+		case r.Domain == self.Domain && local < localNeighbours:
 			local++
-		case !seen[m.Domain] && remote < remoteNeighbours:
-			seen[m.Domain] = true
+		case !seen[r.Domain] && remote < remoteNeighbours:
+			seen[r.Domain] = true
 			remote++
 		default:
 			continue
 		}
-		out = append(out, m.Peers)
-	}
-	slices.SortFunc(present, func(a, b *member) int { return cmp.Compare(g.score(epoch, a), g.score(epoch, b)) })
-	for _, m := range present {
-		if len(out) < g.cfg.Fanout && !slices.Contains(out, m.Peers) {
-			out = append(out, m.Peers)
-		}
+		out = append(out, r)
 	}
-	return out[:min(len(out), g.cfg.Fanout)]
+	return out
+}
+
+// ranked sorts members by rendezvous hashing, so that a choice of the first ones
+// changes little when members come and go.
+func ranked(self record, salt string, present []record) []record {
+	score := func(r record) uint64 { return xxhash.Sum64String(self.Name + "\x00" + salt + "\x00" + r.Name) }
+	return slices.SortedFunc(slices.Values(present), func(a, b record) int { return cmp.Compare(score(a), score(b)) })
 }
 
-func (g *Gossiper) score(salt string, m *member) uint64 {
-	return xxhash.Sum64String(g.self.Name + "\x00" + salt + "\x00" + m.Name)
+// expects reports whether a member that has just started chooses this daemon as
+// a neighbour, so that its silence counts before its first heartbeat has come. A
+// leaving daemon is nobody's neighbour. In a large fleet a daemon that has itself just started cannot tell.
+func (g *Gossiper) expects(r record, now time.Time) bool {
+	if g.self.State != rankAlive {
+		return false
+	}
+	if len(g.members) <= g.cfg.Fanout {
+		return true
+	}
+	if now.Sub(g.started) < g.cfg.SuspectAfter {
+		return false
+	}
+	present := []record{g.self}
+	for _, m := range g.members {
+		if m.present() && m.Name != r.Name {
+			present = append(present, m.record)
+		}
+	}
+	return slices.ContainsFunc(fixedNeighbours(r, present), func(n record) bool { return n.Name == g.self.Name })
 }
 
 // chooseContacts returns addresses at which no live member is known: seeds, and
--- a/internal/fleet/gossiper/rumor.go
+++ b/internal/fleet/gossiper/rumor.go
@@ -224,7 +224,14 @@
 		return nil
 	}
 	m.heard, m.advanced = now, now
-	m.direct = p.Flags&(flagOnce|flagReply) == 0
+	switch {
+	case p.Flags&flagReply != 0:
+	case p.Flags&flagOnce != 0:
+		// A former neighbour says farewell, or a newcomer says hello.
+		m.direct = m.direct && g.expects(m.record, now)
+	default:
+		m.direct = true
+	}
 	if m.State <= p.From.State {
 		return nil
 	}
