Keep rare changes ahead of frequent items in gossip

Cause: items that each daemon publishes several times a second (outcomes, usage) compete with a latch for the same budget, newest first. Frequent items go to three neighbours and wait in turn.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -31,7 +31,7 @@
 	defaultSuspectAfter = 2 * time.Second
 	defaultGoneAfter    = 3 * time.Second
 	defaultForgetAfter  = time.Hour
-	defaultBytesRate    = 4096
+	defaultBytesRate    = 6 << 10
 )
 
 // Sender is the part of a messenger that carries datagrams.
@@ -236,7 +236,8 @@
 	g.age(now)
 	g.refresh(now)
 	targets, others := g.chooseTargets(now)
-	body := g.pack(now, len(targets))
+	g.rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	lean, full := g.pack(now, len(targets))
 	header := g.packHeader(flagOnce)
 	partner := g.choosePartner(now, others)
 	changed, restarted := g.changed, g.restarted
@@ -249,8 +250,12 @@
 	for _, addr := range restarted {
 		g.cfg.Restarted(addr)
 	}
-	for _, addr := range targets {
-		g.send(ctx, addr, body)
+	for i, addr := range targets {
+		if i < frequentFanout {
+			g.send(ctx, addr, full)
+		} else {
+			g.send(ctx, addr, lean)
+		}
 	}
 	for _, addr := range others {
 		g.send(ctx, addr, header)
--- a/internal/fleet/gossiper/item.go
+++ b/internal/fleet/gossiper/item.go
@@ -43,6 +43,8 @@
 	Item
 	// strange is since when the origin is not known; zero if it is.
 	strange time.Time
+	// changed is when this version came.
+	changed time.Time
 }
 
 // strangeAfter is how long an item waits for the record of its origin.
@@ -96,8 +98,14 @@
 		}
 		return nil
 	}
-	g.items[k] = &item{Item: i}
-	g.note(rumorKey{item: k})
+	now := time.Now()
+	g.items[k] = &item{Item: i, changed: now}
+	g.changed = true
+	if old != nil && now.Sub(old.changed) < frequentPeriod {
+		g.rumors.addFrequent(rumorKey{item: k})
+	} else {
+		g.note(rumorKey{item: k})
+	}
 	return g.subs[i.Topic]
 }
 
--- a/internal/fleet/gossiper/neighbor.go
+++ b/internal/fleet/gossiper/neighbor.go
@@ -57,7 +57,7 @@
 		others = append(others, a)
 	}
 	n.addresses = next
-	return next, append(others, g.chooseContacts(now)...)
+	return slices.Clone(next), append(others, g.chooseContacts(now)...)
 }
 
 // chooseNeighbours ranks the members by rendezvous hashing, so that the choice
--- a/internal/fleet/gossiper/rumor.go
+++ b/internal/fleet/gossiper/rumor.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/bits"
 	"slices"
 	"time"
@@ -18,6 +19,11 @@
 	minSends = 2
 	// envelopeBytes are left free in a datagram for its envelope.
 	envelopeBytes = 64
+	// frequentFanout is the number of neighbours that a round sends frequent
+	// items to; what they miss is soon replaced, or comes by an exchange.
+	frequentFanout = 3
+	// frequentPeriod tells frequent items from rare ones.
+	frequentPeriod = 10 * time.Second
 	// burstSeconds is how much of the unused budget can be spent at once.
 	burstSeconds = 8
 )
@@ -55,8 +61,11 @@
 	key  rumorKey
 	sent int
 	seq  uint64
-	// faint marks a refresh, which is sent in one round only.
+	// faint marks a change that is sent in one round only: a refresh, or an
+	// item that changes frequently.
 	faint bool
+	// frequent marks an item that yields to all that changes rarely.
+	frequent bool
 }
 
 func newRumors() rumors { return rumors{pending: make(map[rumorKey]*rumor)} }
@@ -66,6 +75,18 @@
 	r.pending[k] = &rumor{key: k, seq: r.seq}
 }
 
+// addFrequent spreads a new version of an item that changes all the time. It
+// takes the place in the queue of a version that was not sent yet.
+func (r *rumors) addFrequent(k rumorKey) {
+	old := r.pending[k]
+	r.add(k)
+	one := r.pending[k]
+	one.faint, one.frequent = true, true
+	if old != nil && old.sent == 0 {
+		one.seq = old.seq
+	}
+}
+
 // addFaint spreads a refresh, unless a change of the same member is under way.
 func (r *rumors) addFaint(k rumorKey) {
 	if r.pending[k] == nil {
@@ -84,41 +105,39 @@
 
 func (r *rumors) drop(k rumorKey) { delete(r.pending, k) }
 
-// ordered returns the changes in the order in which they are sent: members
-// before items, then the least often sent, then the newest.
+// ordered returns the changes in the order in which they are sent: what changes
+// rarely first, of that the least often sent and then the newest; then the
+// frequent items, the longest waiting first. So a flood of frequent items
+// neither delays a rare one nor starves some of its own.
 func (r *rumors) ordered() []*rumor {
-	out := make([]*rumor, 0, len(r.pending))
-	for _, one := range r.pending {
-		out = append(out, one)
-	}
+	out := slices.Collect(maps.Values(r.pending))
 	slices.SortFunc(out, func(a, b *rumor) int {
-		return cmp.Or(cmp.Compare(a.sent, b.sent), compareMember(a, b), cmp.Compare(b.seq, a.seq))
+		switch {
+		case a.frequent && b.frequent:
+			return cmp.Compare(a.seq, b.seq)
+		case a.frequent:
+			return 1
+		case b.frequent:
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(b.seq, a.seq))
 	})
 	return out
 }
 
-func compareMember(a, b *rumor) int {
-	if (a.key.member == "") == (b.key.member == "") {
-		return 0
-	}
-	if a.key.member != "" {
-		return -1
-	}
-	return 1
-}
-
 // packHeader returns a packet without changes. The caller holds the lock.
 func (g *Gossiper) packHeader(flags int) []byte { return encode(packet{From: g.self, Flags: flags}) }
 
-// pack returns the packet of this round for a number of targets: the changes
-// that fit a datagram and the budget. The caller holds the lock.
-func (g *Gossiper) pack(now time.Time, targets int) []byte {
+// pack returns the packets of this round for a number of targets: the changes
+// that fit a datagram and the budget, without and with the frequent items. The
+// caller holds the lock.
+func (g *Gossiper) pack(now time.Time, targets int) (lean, full []byte) {
 	rate := float64(g.cfg.BytesRate)
 	g.tokens = min(g.tokens+rate*now.Sub(g.lastRound).Seconds(), burstSeconds*rate)
 	p := packet{From: g.self}
 	room := messenger.MaxDatagramBytes - envelopeBytes - len(g.packHeader(0))
 	if targets == 0 {
-		return encode(p)
+		return encode(p), encode(p)
 	}
 	sends := minSends + bits.Len(uint(len(g.members)))/2
 	for _, one := range g.rumors.ordered() {
@@ -127,21 +146,35 @@
 			g.sentOnce(one, sends)
 			continue
 		}
+		if one.frequent && lean == nil {
+			lean = encode(p)
+		}
 		b := g.encodeRumor(one, now)
 		cost := float64(len(b) * targets)
+		if one.frequent {
+			cost = float64(len(b) * min(targets, frequentFanout))
+		}
 		if len(b) > room || cost > g.tokens {
 			continue
 		}
 		room -= len(b)
 		g.tokens -= cost
-		if one.key.member != "" {
-			p.Members = append(p.Members, b)
-		} else {
-			p.Items = append(p.Items, b)
-		}
+		p.add(one.key, b)
 		g.sentOnce(one, sends)
 	}
-	return encode(p)
+	full = encode(p)
+	if lean == nil {
+		lean = full
+	}
+	return lean, full
+}
+
+func (p *packet) add(k rumorKey, b []byte) {
+	if k.member != "" {
+		p.Members = append(p.Members, b)
+	} else {
+		p.Items = append(p.Items, b)
+	}
 }
 
 func (g *Gossiper) sentOnce(one *rumor, sends int) {
