--- a/internal/fleet/gossiper/neighbor.go
+++ b/internal/fleet/gossiper/neighbor.go
@@ -57,7 +57,7 @@
 		others = append(others, a)
 	}
 	n.addresses = next
-	return next, append(others, g.chooseContacts(now)...)
+	return slices.Clone(next), append(others, g.chooseContacts(now)...)
 }
 
 // chooseNeighbours returns the addresses of the members that heartbeats go to:
