Answer from the old version while the new one is unknown or broken

A request that has not begun now goes to the old version when no engine of its own version is known, and in a move also while the old version has no share but is still loaded. Ruled out: waiting in the mover for all daemons to report the version, since a report would be one more message a daemon.

--- a/internal/daemon/assembler/moves.go
+++ b/internal/daemon/assembler/moves.go
@@ -38,10 +38,10 @@
 	d.moves.mover = mover.New(mover.Config{
 		Self: s.Name, Store: store, Follower: d.moves.follower, View: d.holder.Load, Held: d.held, Logger: d.logger, Registry: d.registry,
 	})
-	d.buildOrders()
+	d.buildOrderer()
 }
 
-func (d *Daemon) buildOrders() {
+func (d *Daemon) buildOrderer() {
 	client := inferrer.NewHTTP()
 	d.moves.orderer = orderer.New(orderer.Config{
 		View: d.holder.Load, Wanted: d.moves.follower.Wanted, Held: d.moves.duties.Held,
--- a/internal/daemon/verifier/duty_test.go
+++ b/internal/daemon/verifier/duty_test.go
@@ -85,7 +85,7 @@
 // force.
 func pausable(t *testing.T, fencing bool) (*cluster, []*generator.Generator) {
 	c := newCluster(t)
-	engines := c.generators(generator.Config{Versions: []string{"chat-v1"}, Fencing: fencing})
+	engines := c.generators(generator.Config{Versions: []string{"chat-v1"}, Fencing: fencing}, nil)
 	for _, domain := range []string{"portland", "worcester", "hartford"} {
 		c.daemon("entry-"+domain, domain, daemonOptions{})
 	}
@@ -100,7 +100,7 @@
 func BenchmarkStoreCalls(b *testing.B) {
 	for range b.N {
 		c := newCluster(b)
-		c.generators(generator.Config{Versions: []string{"chat-v1"}})
+		c.generators(generator.Config{Versions: []string{"chat-v1"}}, nil)
 		for i := range 9 {
 			c.daemon(fmt.Sprintf("entry-%d", i), []string{"portland", "worcester", "hartford"}[i%3], daemonOptions{})
 		}
--- a/internal/daemon/verifier/move_test.go
+++ b/internal/daemon/verifier/move_test.go
@@ -1,7 +1,9 @@
 package verifier
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +17,7 @@
 	"pomelotiller/internal/platform/inferrer"
 	"pomelotiller/internal/platform/lister"
 	"pomelotiller/internal/standin/generator"
+	"pomelotiller/internal/standin/keeper"
 )
 
 const (
@@ -37,15 +40,18 @@
 	engines []*generator.Generator
 	// failed counts requests without a whole answer, sent all of them.
 	failed, sent atomic.Int64
+	// bad makes the second version fail.
+	bad atomic.Bool
 }
 
 // generators starts an engine in each failure domain in the test's own process.
-func (c *cluster) generators(cfg generator.Config) []*generator.Generator {
+// bad, if not nil, makes their second version fail while it is set.
+func (c *cluster) generators(cfg generator.Config, bad *atomic.Bool) []*generator.Generator {
 	c.t.Helper()
 	var engines []*generator.Generator
 	for _, domain := range []string{"portland", "worcester", "hartford"} {
 		g := generator.New(cfg)
-		srv := httptest.NewServer(g.Handler())
+		srv := httptest.NewServer(failing(g.Handler(), bad))
 		c.t.Cleanup(srv.Close)
 		engines = append(engines, g)
 		c.host(lister.Host{
@@ -56,12 +62,28 @@
 	return engines
 }
 
+func failing(h http.Handler, bad *atomic.Bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if bad == nil || !bad.Load() || r.URL.Path != inferrer.PathChat {
+			h.ServeHTTP(w, r)
+			return
+		}
+		b, err := io.ReadAll(r.Body)
+		if err != nil || bytes.Contains(b, []byte(`"chat-v2"`)) {
+			http.Error(w, "broken version", http.StatusInternalServerError)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(b))
+		h.ServeHTTP(w, r)
+	})
+}
+
 // newMoving starts daemons and engines, publishes a move, and keeps asking for
 // completions until the test ends.
 func newMoving(t *testing.T, by time.Time, faulty map[string]generator.Fault) *moving {
 	t.Helper()
 	m := &moving{cluster: newCluster(t)}
-	m.engines = m.generators(generator.Config{Versions: []string{"chat-v1"}, Faulty: faulty})
+	m.engines = m.generators(generator.Config{Versions: []string{"chat-v1"}, Faulty: faulty}, &m.bad)
 	for _, domain := range []string{"portland", "worcester", "hartford"} {
 		m.daemon("entry-"+domain, domain, daemonOptions{})
 	}
@@ -105,9 +127,10 @@
 	}
 	body := fmt.Sprintf(`{"model":"chat","max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, moveTokens, prompt)
 	m.sent.Add(1)
-	status, _, err := tryRequest(http.MethodPost, "http://"+d.callers+inferrer.PathChat, []byte(body), nil)
+	status, b, err := tryRequest(http.MethodPost, "http://"+d.callers+inferrer.PathChat, []byte(body), nil)
 	if err != nil || status != http.StatusOK {
 		m.failed.Add(1)
+		m.t.Logf("request at %s: %v, status %d: %s", d.name, err, status, b)
 	}
 }
 
@@ -181,6 +204,40 @@
 	t.Logf("%d attempts at the bad version, %d of %d requests failed; %s", touched, m.failed.Load(), m.sent.Load(), r.Reason)
 }
 
+// TestLateFault lets the new version fail in the middle of the ramp while the
+// store is away, and after the move is done; it is taken back at once.
+func TestLateFault(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		at   mover.State
+		down bool
+	}{
+		{"ramping, without a store", mover.Ramping, true},
+		{"done", mover.Done, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			m := newMoving(t, time.Now().Add(17*time.Second), nil)
+			m.await(17*time.Second, tc.at, m.daemons...)
+			m.faults(keeper.Faults{Down: tc.down})
+			m.bad.Store(true)
+			began := time.Now()
+			for _, d := range m.daemons {
+				eventually(t, 10*time.Second, "taken back at "+d.name, func() bool {
+					s := m.move(d).State
+					return s == mover.Reverting || s == mover.Reverted
+				})
+			}
+			t.Logf("taken back at all daemons after %s: %s", time.Since(began).Round(10*time.Millisecond), m.move(m.daemons[0]).Reason)
+			m.faults(keeper.Faults{})
+			m.await(15*time.Second, mover.Reverted, m.daemons...)
+			if got := m.failed.Load(); got > 0 {
+				t.Errorf("got %d of %d requests failed, want 0: the old version can answer", got, m.sent.Load())
+			}
+		})
+	}
+}
+
 // TestHolderLost kills or pauses the daemon that holds a move in the middle of
 // it; another must go on with a higher epoch and be done in time.
 func TestHolderLost(t *testing.T) {
--- a/internal/traffic/relayer/outcome.go
+++ b/internal/traffic/relayer/outcome.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"pomelotiller/internal/config/loader"
+	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/platform/inferrer"
 	"pomelotiller/internal/traffic/router"
 )
@@ -84,17 +86,23 @@
 
 // nextVersion returns the version for the attempt after a failed one. An answer
 // that has begun stays with its version; one that has not goes to the first
-// version listed with a share, which in a move is the old one: a bad new version
-// costs its callers a retry and not the answer, and a noisy old one sends no
-// more traffic to the new.
-func nextVersion(shares []loader.Share, failed string, begun bool, err error) string {
+// version listed with a share, which in a move is the old one, and in a move
+// also if it has no share any more but is still loaded: a bad new version costs
+// its callers a retry and not the answer, and a noisy old one sends no more
+// traffic to the new.
+func nextVersion(v viewer.View, route loader.Route, failed string, begun bool, err error) string {
 	if begun || !blamesVersion(err) {
 		return failed
 	}
-	for _, s := range shares {
-		if s.Share > 0 {
+	_, moving := v.Splits[route.Name]
+	for _, s := range v.Split(route) {
+		if s.Share > 0 || moving && isLoaded(v, s.Version) {
 			return s.Version
 		}
 	}
 	return failed
 }
+
+func isLoaded(v viewer.View, version string) bool {
+	return slices.ContainsFunc(v.Endpoints, func(e viewer.Endpoint) bool { return e.Serves(version) })
+}
--- a/internal/traffic/relayer/outcome_test.go
+++ b/internal/traffic/relayer/outcome_test.go
@@ -1,34 +1,61 @@
 package relayer
 
 import (
+	"fmt"
 	"testing"
 
 	"pomelotiller/internal/config/loader"
+	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/standin/generator"
 )
 
 func TestNextVersion(t *testing.T) {
 	both := []loader.Share{{Version: "v1", Share: 95}, {Version: "v2", Share: 5}}
 	for _, tc := range []struct {
 		name   string
+		moving bool
 		shares []loader.Share
 		failed string
 		begun  bool
 		err    error
 		want   string
 	}{
-		{"new version failed", both, "v2", false, &inferrer.StatusError{Status: 500}, "v1"},
-		{"old version failed", both, "v1", false, inferrer.ErrTruncated, "v1"},
-		{"answer has begun", both, "v2", true, inferrer.ErrTruncated, "v2"},
-		{"engine leaves", both, "v2", false, inferrer.ErrLeaving, "v2"},
-		{"old version has no share", []loader.Share{{Version: "v1"}, {Version: "v2", Share: 100}}, "v2", false, inferrer.ErrTruncated, "v2"},
-		{"only version", both[:1], "v1", false, inferrer.ErrTruncated, "v1"},
-		{"other has no share", []loader.Share{{Version: "v1", Share: 100}, {Version: "v2"}}, "v1", false, inferrer.ErrTruncated, "v1"},
+		{"new version failed", false, both, "v2", false, &inferrer.StatusError{Status: 500}, "v1"},
+		{"old version failed", false, both, "v1", false, inferrer.ErrTruncated, "v1"},
+		{"answer has begun", false, both, "v2", true, inferrer.ErrTruncated, "v2"},
+		{"engine leaves", false, both, "v2", false, inferrer.ErrLeaving, "v2"},
+		{"old version has no share", false, []loader.Share{{Version: "v1"}, {Version: "v2", Share: 100}}, "v2", false, inferrer.ErrTruncated, "v2"},
+		{"old version has no share any more in a move", true, []loader.Share{{Version: "v1"}, {Version: "v2", Share: 100}}, "v2", false, inferrer.ErrTruncated, "v1"},
+		{"old version is not loaded any more", true, []loader.Share{{Version: "v0"}, {Version: "v2", Share: 100}}, "v2", false, inferrer.ErrTruncated, "v2"},
+		{"only version", false, both[:1], "v1", false, inferrer.ErrTruncated, "v1"},
+		{"other has no share", false, []loader.Share{{Version: "v1", Share: 100}, {Version: "v2"}}, "v1", false, inferrer.ErrTruncated, "v1"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			if got := nextVersion(tc.shares, tc.failed, tc.begun, tc.err); got != tc.want {
+			route := loader.Route{Name: "chat", Versions: tc.shares}
+			v := viewer.View{}.WithEndpoints([]viewer.Endpoint{{State: viewer.StateAlive, Versions: []string{"v1", "v2"}}})
+			if tc.moving {
+				v = v.WithSplits(map[string][]loader.Share{"chat": tc.shares})
+			}
+			if got := nextVersion(v, route, tc.failed, tc.begun, tc.err); got != tc.want {
 				t.Errorf("got %q, want %q", got, tc.want)
 			}
 		})
 	}
 }
+
+// TestVersionNotYetLoaded asks for a version that no engine has as far as this
+// daemon knows; the other version answers.
+func TestVersionNotYetLoaded(t *testing.T) {
+	b := newBench(t, 1)
+	b.route = b.route.WithVersions(loader.Share{Version: testVersion, Share: 1}, loader.Share{Version: "chat-v2", Share: 99})
+	for i := range 10 {
+		var sink textSink
+		if err := b.relayer.Run(t.Context(), b.job(fmt.Sprintf("request-%d", i)), &sink); err != nil {
+			t.Fatalf("got error %v, want an answer of %s", err, testVersion)
+		}
+		if got, want := sink.text.String(), generator.Text(testVersion, testPrompt, testTokens); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -147,7 +147,7 @@
 	default:
 		p.exclude[c.Endpoint.Name] = true
 	}
-	p.version = nextVersion(r.cfg.View().Split(job.Route), c.Version, p.begun(), err)
+	p.version = nextVersion(r.cfg.View(), job.Route, c.Version, p.begun(), err)
 	p.fruitless++
 	meter.Count(r.cfg.Registry, 1, "attempt_failures_total", "route", job.Route.Name, "version", c.Version, "cause", causeOf(err))
 	if errors.Is(err, inferrer.ErrLeaving) && r.cfg.Leaving != nil {
@@ -217,6 +217,11 @@
 		if err == nil || !errors.Is(err, router.ErrNoEndpoint) {
 			return c, err
 		}
+		// This daemon may not know yet that a new version is loaded.
+		if next := nextVersion(r.cfg.View(), job.Route, p.version, p.begun(), err); next != p.version {
+			p.version = next
+			continue
+		}
 		p.round++
 		if p.begun() && p.waited() >= r.cfg.Patience || !p.begun() && (len(p.exclude) == 0 || p.round >= maxRounds) {
 			return c, err
