--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,8 +40,8 @@
 const (
 	operatorHeaderTimeout = 10 * time.Second
 	flushTimeout          = 2 * time.Second
-	// leaveTime is how long a leaving daemon goes on gossiping that it leaves.
-	leaveTime = time.Second
+	// leaveTime is how long a stopped daemon goes on gossiping that it is gone.
+	leaveTime = 500 * time.Millisecond
 )
 
 // Config configures a Daemon.
@@ -70,9 +69,12 @@
 	prober    *prober.Prober
 	relayer   *relayer.Relayer
 	listener  *listener.Listener
+	orders    *recorder.Runner
 	informer  *informer.Informer
 	moves     moves
 	drain     chan struct{}
+	// stopWork is done by a planned stop, before the control parts end.
+	stopWork []func(ctx context.Context)
 	// leavings holds the keys of the endpoints known to be leaving.
 	leavings sync.Map
 	// ctx bounds the life of the control parts; end ends it.
@@ -112,7 +114,7 @@
 	if d.operators, err = lc.Listen(ctx, "tcp", s.Operators); err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
-	d.messenger, err = messenger.New(messenger.Config{Listen: s.Peers, Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA})
+	d.messenger, err = messenger.New(messenger.Config{Listen: s.Peers, Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA, Failed: d.materialFailed})
 	return err
 }
 
@@ -125,7 +127,7 @@
 	}
 	d.release.Store(&publisher.Release{})
 	d.gossiper = gossiper.New(gossiper.Config{
-		Self: self, Sender: d.messenger, Seeds: func() []string { return s.Seeds },
+		Self: self, Sender: d.messenger, Caller: d.messenger, Seeds: d.seeds,
 		Changed: d.membersChanged, Logger: d.logger, Registry: d.registry,
 	})
 	d.buildMoves(store)
@@ -134,35 +136,29 @@
 		Holder: &d.holder, Lister: leavingLister{lister.NewClient(lister.ClientConfig{Address: s.Platform}), d},
 		Adopted: d.adopted, Logger: d.logger, Registry: d.registry,
 	})
-	d.watcher = publisher.NewWatcher(publisher.WatcherConfig{
-		Store: store, Caller: d.messenger, Current: d.current, Adopt: func(r publisher.Release) { d.control.Adopt(d.ctx, r) },
-		Peers: d.peers, Logger: d.logger, Registry: d.registry,
-	})
+	d.watcher = d.newWatcher()
 	d.prober = prober.New(prober.Config{
 		Endpoints: func() []viewer.Endpoint { return d.holder.Load().Endpoints },
 		Report:    d.reported,
 	})
 	d.gossiper.Subscribe(leavingTopic, d.learnLeaving)
-	d.buildTraffic(store, fmt.Sprintf("%s/%d", s.Name, incarnation))
+	d.buildTraffic(store, recorder.OwnerName(s.Name, incarnation))
 }
 
 func (d *Daemon) buildTraffic(store storer.Store, owner string) {
 	s := d.settings
 	rt := router.New(router.Config{})
-	rec := recorder.New(recorder.Config{Store: store, Owner: owner})
+	rec := d.buildOrders(store, owner, rt)
 	d.relayer = relayer.New(relayer.Config{
 		View: d.holder.Load, Router: rt, Domain: s.Domain, HTTP: inferrer.NewHTTP(), Tracer: d.tracer, Registry: d.registry,
 		Leaving: d.refusedByLeaving, Outcomes: d.moves.follower,
 	})
 	d.listener = listener.New(listener.Config{
 		View: d.holder.Load, Admitter: admitter.New(), Recorder: rec, Tracer: d.tracer, Registry: d.registry,
-		Relayer: d.relayer,
-		Runner: recorder.NewRunner(recorder.RunnerConfig{
-			Recorder: rec, Router: rt, View: d.holder.Load, Domain: s.Domain, Tracer: d.tracer, Registry: d.registry,
-		}),
+		Relayer: d.relayer, Stopping: d.stopping, Runner: d.orders,
 	})
 	d.informer = informer.New(informer.Config{
-		View: d.holder.Load, Current: d.current, Publisher: publisher.New(publisher.Config{Store: store}),
+		View: d.holder.Load, Current: d.current, Publisher: d.newPublisher(store),
 		Recorder: rec, Drain: d.Drain, Registry: d.registry, Moves: d.moves.follower,
 	})
 }
@@ -199,19 +195,7 @@
 
 func (d *Daemon) adopted(r publisher.Release) {
 	d.release.Store(&r)
-	d.gossiper.SetGeneration(r.Generation)
-}
-
-func (d *Daemon) membersChanged() { d.control.SetMembers(d.ctx, d.gossiper.Members()) }
-
-func (d *Daemon) peers() []publisher.Peer {
-	var peers []publisher.Peer
-	for _, m := range d.gossiper.Members() {
-		if m.Name != d.settings.Name && m.State != viewer.StateGone {
-			peers = append(peers, publisher.Peer{Address: m.Peers, Generation: m.Generation})
-		}
-	}
-	return peers
+	d.gossiper.SetRelease(r.Generation, r.Digest())
 }
 
 // Run serves until stop ends or Drain is called, then stops in order: traffic
@@ -223,7 +207,7 @@
 	var g errgroup.Group
 	for _, f := range append([]func(context.Context) error{
 		d.messenger.Run, d.gossiper.Run, d.control.Run, d.control.RunHosts,
-		d.watcher.RunStore, d.watcher.RunPeers, d.prober.Run, d.serveOperators,
+		d.watcher.RunStore, d.watcher.RunPeers, d.prober.Run, d.serveOperators, d.orders.Run,
 	}, d.moves.runs()...) {
 		g.Go(func() error {
 			defer endServing()
@@ -231,19 +215,15 @@
 		})
 	}
 	g.Go(func() error {
-		select {
-		case <-stop.Done():
-		case <-d.drain:
-		case <-serving.Done():
-		}
-		d.log("msg", "draining")
-		d.gossiper.SetState(viewer.StateLeaving)
-		endServing()
+		defer endServing()
+		d.awaitStop(stop, serving)
 		return nil
 	})
 	g.Go(func() error {
 		defer d.end()
 		err := d.listener.Serve(serving, d.callers, d.settings.Drain.Std())
+		d.drainOrders()
+		d.gossiper.SetState(viewer.StateGone)
 		time.Sleep(leaveTime)
 		return err
 	})
@@ -256,16 +236,6 @@
 	return errors.Join(err, d.flush(flushCtx))
 }
 
-func (d *Daemon) serveOperators(ctx context.Context) error {
-	srv := &http.Server{Handler: d.informer.Handler(), ReadHeaderTimeout: operatorHeaderTimeout}
-	stop := context.AfterFunc(ctx, func() { srv.Close() })
-	defer stop()
-	if err := srv.Serve(d.operators); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve operators: %w", err)
-	}
-	return nil
-}
-
 func (d *Daemon) log(fields ...any) {
 	// A logger that fails has nowhere to say so.
 	_ = level.Info(d.logger).Log(fields...)
--- a/internal/daemon/assembler/moves.go
+++ b/internal/daemon/assembler/moves.go
@@ -38,10 +38,10 @@
 	d.moves.mover = mover.New(mover.Config{
 		Self: s.Name, Store: store, Follower: d.moves.follower, View: d.holder.Load, Held: d.held, Logger: d.logger, Registry: d.registry,
 	})
-	d.buildOrderer()
+	d.buildEngineOrders()
 }
 
-func (d *Daemon) buildOrderer() {
+func (d *Daemon) buildEngineOrders() {
 	client := inferrer.NewHTTP()
 	d.moves.orderer = orderer.New(orderer.Config{
 		View: d.holder.Load, Wanted: d.moves.follower.Wanted, Held: d.moves.duties.Held,
--- a/internal/standin/generator/transfer.go
+++ b/internal/standin/generator/transfer.go
@@ -24,6 +24,8 @@
 	Prompt  string `json:"prompt"`
 	// Tokens is the number of tokens of the answer that the cache covers.
 	Tokens int `json:"tokens"`
+	// held is the number of tokens that were held before the last attempt.
+	held int
 }
 
 // TransferCounts counts exports, imports and the tokens that resumed requests
@@ -134,18 +136,24 @@
 func (k *kvKeeper) begin(id string, c kvCache, resumed bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if had, ok := k.caches[id]; ok && had.Version == c.Version && had.Prompt == c.Prompt {
+		c.held = inferrer.Tokens(c.Prompt) + had.Tokens
+	}
 	if resumed {
 		k.counts.Resumes++
-		had, ok := k.caches[id]
-		if ok && had.Version == c.Version && had.Prompt == c.Prompt {
-			k.counts.Recomputed += max(0, c.Tokens-had.Tokens)
-		} else {
-			k.counts.Recomputed += inferrer.Tokens(c.Prompt) + c.Tokens
-		}
+		k.counts.Recomputed += max(0, inferrer.Tokens(c.Prompt)+c.Tokens-c.held)
 	}
 	k.set(id, c)
 }
 
+// covered returns the number of tokens of a request, prompt and answer, whose
+// cache is held already.
+func (k *kvKeeper) covered(id string) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.caches[id].held
+}
+
 // countedWriter notes each chunk of an answer in the cache of its request.
 type countedWriter struct {
 	http.ResponseWriter
