Judge moves of plain services and fit records into heartbeats

Cause: only completions reported outcomes, so a move between versions of a service always ended as taken back for want of answers. Orders now report theirs where the pool tells the version.

--- a/internal/control/mover/follower.go
+++ b/internal/control/mover/follower.go
@@ -166,7 +166,7 @@
 
 // Publish adopts a record that was written and spreads it.
 func (f *Follower) Publish(r Record) {
-	b, err := json.Marshal(r)
+	b, err := gossiped.Marshal(r)
 	if err != nil {
 		return
 	}
@@ -176,7 +176,7 @@
 
 func (f *Follower) takeRecord(i gossiper.Item) {
 	var r Record
-	if err := json.Unmarshal(i.Value, &r); err != nil {
+	if err := cbor.Unmarshal(i.Value, &r); err != nil {
 		meter.Count(f.cfg.Registry, 1, "move_items_malformed_total")
 		return
 	}
--- a/internal/control/mover/record.go
+++ b/internal/control/mover/record.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/qmuntal/stateless"
 
 	"pomelotiller/internal/config/loader"
@@ -47,33 +48,33 @@
 
 // Record is the state of a move, as it stands in the store.
 type Record struct {
-	Name  string `json:"name"`
-	Route string `json:"route"`
-	From  string `json:"from"`
-	To    string `json:"to"`
+	Name  string `json:"name" cbor:"1,keyasint"`
+	Route string `json:"route" cbor:"2,keyasint"`
+	From  string `json:"from" cbor:"3,keyasint"`
+	To    string `json:"to" cbor:"4,keyasint"`
 	// Run is the generation of the configuration with which this run of the
 	// move began. A move that is published anew gets a new run.
-	Run uint64 `json:"run"`
+	Run uint64 `json:"run" cbor:"5,keyasint"`
 	// Generation is the configuration that the last step was taken under.
-	Generation uint64 `json:"generation"`
+	Generation uint64 `json:"generation" cbor:"6,keyasint"`
 	// Step grows by one with each write.
-	Step uint64 `json:"step"`
+	Step uint64 `json:"step" cbor:"7,keyasint"`
 	// Holder is the daemon that wrote the record, Epoch its fencing number.
-	Holder string `json:"holder"`
-	Epoch  uint64 `json:"epoch"`
-	State  State  `json:"state"`
+	Holder string `json:"holder" cbor:"8,keyasint"`
+	Epoch  uint64 `json:"epoch" cbor:"9,keyasint"`
+	State  State  `json:"state" cbor:"10,keyasint"`
 	// Stage counts the shares of the ramp that were in force, from 0.
-	Stage int `json:"stage"`
+	Stage int `json:"stage" cbor:"11,keyasint"`
 	// Share is the new version's part of the traffic, in percent.
-	Share float64   `json:"share"`
-	By    time.Time `json:"by"`
+	Share float64   `json:"share" cbor:"12,keyasint"`
+	By    time.Time `json:"by" cbor:"13,keyasint"`
 	// Entered is when the present stage began.
-	Entered time.Time `json:"entered"`
+	Entered time.Time `json:"entered" cbor:"14,keyasint"`
 	// Released is set once the old version is no longer held.
-	Released bool `json:"released,omitempty"`
+	Released bool `json:"released,omitempty" cbor:"15,keyasint,omitempty"`
 	// Withdrawn is set once the configuration has the move no longer.
-	Withdrawn bool   `json:"withdrawn,omitempty"`
-	Reason    string `json:"reason,omitempty"`
+	Withdrawn bool   `json:"withdrawn,omitempty" cbor:"16,keyasint,omitempty"`
+	Reason    string `json:"reason,omitempty" cbor:"17,keyasint,omitempty"`
 }
 
 // newRecord returns the first record of a run.
@@ -128,6 +129,16 @@
 	return m
 }
 
+// gossiped encodes records for gossip, more tightly than for the store.
+var gossiped = func() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		// The options are fixed.
+		panic(err)
+	}
+	return m
+}()
+
 // Decode reads a record from its entry in the store.
 func Decode(e storer.Entry) (Record, error) {
 	var r Record
--- a/internal/daemon/assembler/orders.go
+++ b/internal/daemon/assembler/orders.go
@@ -19,6 +19,7 @@
 	d.orders = recorder.NewRunner(d.ctx, recorder.RunnerConfig{
 		Recorder: rec, Router: rt, View: d.holder.Load, Name: d.settings.Name, Domain: d.settings.Domain,
 		Peers: d.messenger, Tracer: d.tracer, Registry: d.registry,
+		Services: observedServices{recorder.HTTPServices{}, d.holder.Load, d.moves.follower},
 	})
 	return rec
 }
--- a/internal/daemon/verifier/duty_test.go
+++ b/internal/daemon/verifier/duty_test.go
@@ -112,7 +112,7 @@
 		m := &moving{cluster: c}
 		by := time.Now().Add(17 * time.Second)
 		c.publish(c.daemons[0], moveSet(by))
-		m.traffic()
+		m.traffic(m.ask)
 		c.reportCalls(b, "moving", time.Until(by))
 	}
 }
--- a/internal/daemon/verifier/move_test.go
+++ b/internal/daemon/verifier/move_test.go
@@ -91,12 +91,12 @@
 	m.awaitGeneration(1)
 	m.awaitEndpoints(3)
 	m.publish(m.daemons[0], moveSet(by))
-	m.traffic()
+	m.traffic(m.ask)
 	return m
 }
 
 // traffic sends requests to all daemons until the test ends.
-func (m *moving) traffic() {
+func (m *moving) traffic(ask func(d *daemon, what string)) {
 	stop := make(chan struct{})
 	var g sync.WaitGroup
 	for _, d := range m.daemons {
@@ -107,7 +107,7 @@
 					case <-stop:
 						return
 					case <-time.After(callPause):
-						m.ask(d, fmt.Sprintf("caller %d request %d", n, i))
+						ask(d, fmt.Sprintf("caller %d request %d", n, i))
 					}
 				}
 			})
