Spread outcomes half as often, and less often with more moves

Cause: during one move at 9 daemons each sent 12.7 KB/s of gossip, of 2.4 KB/s at rest; with several moves it would have passed the budget of 26 KB/s.

Outcomes now spread every 0.5 s a move (50 ms a member), and 0.25 s after a fault of the new version.

--- a/internal/control/mover/observer.go
+++ b/internal/control/mover/observer.go
@@ -35,8 +35,11 @@
 	// as the same event, such as the death of its host.
 	breakTime = time.Second
 
-	publishPeriod    = 250 * time.Millisecond
-	publishPerMember = 25 * time.Millisecond
+	// publishPeriod is the least time between two spreads of a move's outcomes,
+	// newsPeriod that after a fault of the new version.
+	publishPeriod    = 500 * time.Millisecond
+	publishPerMember = 50 * time.Millisecond
+	newsPeriod       = 250 * time.Millisecond
 
 	defaultErrorLimit = 0.01
 	defaultSlowLimit  = 0.05
@@ -290,13 +293,13 @@
 
 // outcomesItem returns the item that spreads the daemon's own outcomes, if it
 // is time: at once after a fault of the new version, else at a period that
-// grows with the fleet, so that the fleet's traffic does not.
+// grows with the fleet and the number of moves, so that the traffic does not.
 func (f *Follower) outcomesItem(name string, m *follow, now time.Time) (gossiper.Item, bool) {
 	if m.own.Total == m.spread.Total && m.own.Run == m.spread.Run {
 		return gossiper.Item{}, false
 	}
-	period := max(publishPeriod, time.Duration(f.cfg.Members())*publishPerMember)
-	news := faults(m.own.Total.New) != faults(m.spread.Total.New) && now.Sub(m.published) >= publishPeriod
+	period := time.Duration(f.moving()) * max(publishPeriod, time.Duration(f.cfg.Members())*publishPerMember)
+	news := faults(m.own.Total.New) != faults(m.spread.Total.New) && now.Sub(m.published) >= newsPeriod
 	if now.Sub(m.published) < period && !news {
 		return gossiper.Item{}, false
 	}
@@ -312,6 +315,17 @@
 	return gossiper.Item{Topic: topicOutcomes, Key: name + "/" + f.cfg.Self, Version: m.version, Value: b}, true
 }
 
+// moving counts the moves that are on their way. The caller holds the lock.
+func (f *Follower) moving() int {
+	n := 0
+	for _, m := range f.moves {
+		if m.record.Moving() {
+			n++
+		}
+	}
+	return n
+}
+
 func faults(c Counts) uint64 { return c.Errors + c.First + c.Token + c.Short }
 
 func splitKey(key string) (move, daemon string) {
--- a/internal/daemon/verifier/duty_test.go
+++ b/internal/daemon/verifier/duty_test.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -96,7 +98,7 @@
 }
 
 // BenchmarkStoreCalls reports the calls a second that nine daemons make at the
-// store, idle and during a move.
+// store, and the gossip that each sends, idle and during a move.
 func BenchmarkStoreCalls(b *testing.B) {
 	for range b.N {
 		c := newCluster(b)
@@ -119,10 +121,29 @@
 
 func (c *cluster) reportCalls(b *testing.B, name string, d time.Duration) {
 	calls := func() keeper.Calls { return getJSON[keeper.Calls](b, c.address, "/calls") }
-	before := calls()
+	before, bytesBefore := calls(), c.gossiped()
 	time.Sleep(d)
-	after := calls()
+	after, bytesAfter := calls(), c.gossiped()
 	b.ReportMetric(float64(after.Writes-before.Writes)/d.Seconds(), name+"-writes/s")
 	b.ReportMetric(float64(after.Reads-before.Reads)/d.Seconds(), name+"-reads/s")
 	b.ReportMetric(float64(after.Waiting), name+"-watches")
+	b.ReportMetric((bytesAfter-bytesBefore)/d.Seconds()/float64(len(c.daemons)), name+"-gossip-B/s")
+}
+
+// gossiped returns the bytes of gossip that all daemons have sent.
+func (c *cluster) gossiped() float64 {
+	c.t.Helper()
+	var sum float64
+	for _, d := range c.daemons {
+		for line := range strings.Lines(string(call(c.t, http.MethodGet, "http://"+d.operators+"/metrics", nil, nil))) {
+			if rest, ok := strings.CutPrefix(line, "pomelotiller_gossip_sent_bytes_total "); ok {
+				n, err := strconv.ParseFloat(strings.TrimSpace(rest), 64)
+				if err != nil {
+					c.t.Fatal(err)
+				}
+				sum += n
+			}
+		}
+	}
+	return sum
 }
