--- /dev/null
+++ b/internal/traffic/recorder/recorder_test.go
@@ -0,0 +1,207 @@
+package recorder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pomelotiller/internal/traffic/refuser"
+)
+
+const testKey = "key-1"
+
+func submission(async bool) Submission {
+	return Submission{
+		Organisation: "granite", Route: "ledger", Key: testKey, Async: async,
+		Request: Request{Method: "POST", Path: "/orders", Body: []byte("lamps")},
+	}
+}
+
+// inFleet runs a test on a fleet in virtual time.
+func inFleet(t *testing.T, f func(t *testing.T, fleet *fakeFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFakeFleet(nil)
+		defer func() {
+			for _, d := range fleet.daemons {
+				fleet.stop(d)
+			}
+			synctest.Wait()
+		}()
+		f(t, fleet)
+	})
+}
+
+func (f *fakeFleet) record(t *testing.T) Order {
+	t.Helper()
+	e, err := f.store.Get(t.Context(), KeyPrefix+OrderID("granite", "ledger", testKey))
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := decode(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return o
+}
+
+// The first write of an order is not settled. What the caller is told holds,
+// whenever the write takes effect, and the same key can be used again.
+func TestFirstWriteUnsettled(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		async bool
+		set   func(*fakeStore)
+		want  refuser.RunState
+	}{
+		{"dispatched, late", false, func(s *fakeStore) { s.delay = 1 }, refuser.NotRun},
+		{"dispatched, answer lost", false, func(s *fakeStore) { s.lose = 1 }, refuser.NotRun},
+		{"accepted, late", true, func(s *fakeStore) { s.delay = 1 }, refuser.Unknown},
+		{"accepted, answer lost", true, func(s *fakeStore) { s.lose = 1 }, refuser.Unknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inFleet(t, func(t *testing.T, f *fakeFleet) {
+				runner := f.daemons[0].runner
+				f.services.set(tc.async)
+				// The journal is written before; its writes succeed.
+				runner.journal.store = newFakeStore()
+				f.store.set(tc.set)
+				_, err := runner.Submit(t.Context(), submission(tc.async))
+				var refusal *refuser.Refusal
+				if !errors.As(err, &refusal) || refusal.Run != tc.want || refusal.RetryAfter <= 0 {
+					t.Fatalf("got error %v, want a refusal with run state %s and Retry-After", err, tc.want)
+				}
+				time.Sleep(2 * lateTime)
+				f.services.set(false)
+				time.Sleep(time.Minute)
+				if o := f.record(t); o.State != StateRefused || f.services.runs[testKey] != 0 {
+					t.Errorf("got order %s and %d runs, want refused and 0", o.State, f.services.runs[testKey])
+				}
+				o, err := runner.Submit(t.Context(), submission(false))
+				if err != nil || o.State != StateDone || f.services.runs[testKey] != 1 {
+					t.Errorf("got order %s (%v) and %d runs on another try, want done and 1", o.State, err, f.services.runs[testKey])
+				}
+			})
+		})
+	}
+}
+
+// A write of a daemon that is lost takes effect after its orders were taken
+// over: it must not bring an order to life that nobody looks after.
+func TestLateWriteOfLostDaemon(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fakeFleet) {
+		f.store.set(func(s *fakeStore) { s.delay, s.late = 1, time.Minute })
+		f.services.set(true)
+		go func() {
+			// The daemon is lost before its caller is told anything.
+			_, _ = f.daemons[0].runner.Submit(context.Background(), submission(true))
+		}()
+		time.Sleep(3 * callTime)
+		f.stop(f.daemons[0])
+		time.Sleep(2 * time.Minute)
+		if o := f.record(t); o.State != StateRefused {
+			t.Errorf("got order %s, want refused", o.State)
+		}
+	})
+}
+
+// An owner that is paused during its dispatch write, until others have given
+// the order up, sends nothing when it wakes up.
+func TestOwnerPausedInDispatch(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fakeFleet) {
+		d := f.daemons[0]
+		time.AfterFunc(3*callTime/2, func() {
+			f.hush(d, true)
+			wake := d.gate.pause()
+			time.AfterFunc(10*time.Second, func() {
+				wake()
+				f.heard(d)
+			})
+		})
+		_, err := d.runner.Submit(t.Context(), submission(false))
+		if n := f.services.runs[testKey]; n != 0 {
+			t.Errorf("got %d runs (%v), want 0", n, err)
+		}
+		time.Sleep(time.Minute)
+		if o := f.record(t); o.State != StateUnknown {
+			t.Errorf("got order %s, want unknown", o.State)
+		}
+	})
+}
+
+func TestRecordFitsTheStore(t *testing.T) {
+	const maxBody, keptAnswer = 256 << 10, 512 << 10
+	o := Order{ID: "order", State: StateDispatched, Request: Request{Body: make([]byte, maxBody)}}
+	rec := New(Config{})
+	for _, tc := range []struct {
+		name   string
+		answer int
+		want   bool
+	}{
+		{"kept", keptAnswer, false},
+		{"omitted", maxAnswerBytes, true},
+	} {
+		s, err := rec.finish(o, Answer{Status: 200, Body: make([]byte, tc.answer)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := encodeRecord(s.Next)
+		if err != nil || len(b) > MaxRecordBytes {
+			t.Errorf("%s: got %d bytes (%v), want at most %d", tc.name, len(b), err, MaxRecordBytes)
+		}
+		if got := bytes.Contains(b, []byte(`"omitted":true`)); got != tc.want {
+			t.Errorf("%s: got omitted %t, want %t", tc.name, got, tc.want)
+		}
+	}
+	if b, err := encodeRecord(o); err != nil || len(b) > MaxRecordBytes {
+		t.Errorf("got %d bytes (%v) before the answer, want at most %d", len(b), err, MaxRecordBytes)
+	}
+	o.Request.Path = string(make([]byte, MaxRecordBytes))
+	var refusal *refuser.Refusal
+	if _, err := encodeRecord(o); !errors.As(err, &refusal) || refusal.Run != refuser.NotRun {
+		t.Errorf("got error %v for a record that is too large, want a refusal", err)
+	}
+}
+
+// BenchmarkStoreWrites counts the store writes of an order, for callers that
+// post one after another.
+func BenchmarkStoreWrites(b *testing.B) {
+	for _, callers := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			f := newFakeFleet(nil)
+			runner := f.daemons[0].runner
+			orders := make(chan int)
+			var wg sync.WaitGroup
+			for range callers {
+				wg.Go(func() {
+					for n := range orders {
+						s := submission(false)
+						s.Key = fmt.Sprintf("%d-%d", b.N, n)
+						if o, err := runner.Submit(context.Background(), s); err != nil || o.State != StateDone {
+							b.Errorf("got order %s (%v), want done", o.State, err)
+						}
+					}
+				})
+			}
+			for n := range b.N {
+				orders <- n
+			}
+			close(orders)
+			wg.Wait()
+			f.store.set(func(s *fakeStore) {
+				records, journals := float64(s.writes["orders"]), float64(s.writes["order-owners"])
+				b.ReportMetric(records/float64(b.N), "records/order")
+				b.ReportMetric(journals/float64(b.N), "journals/order")
+				b.ReportMetric((records+journals)/float64(b.N), "writes/order")
+			})
+			for _, d := range f.daemons {
+				f.stop(d)
+			}
+		})
+	}
+}
