Leave alone what another daemon recorded for the same attempt

Cause: a daemon whose first write was not settled barred the key, and took any dispatched record of the same attempt number for its own, so that an order that ran at another daemon was recorded as refused.

--- a/internal/traffic/recorder/carry.go
+++ b/internal/traffic/recorder/carry.go
@@ -257,7 +257,7 @@
 	if !s.Next.Ended() {
 		return s, false
 	}
-	sameAttempt := current.State == StateDispatched && current.Attempt == s.Next.Attempt
+	sameAttempt := current.State == StateDispatched && current.Owner == s.Next.Owner && current.Attempt == s.Next.Attempt
 	superseded := current.State == StateUnknown && s.Next.State == StateDone
 	expired := current.ID == ""
 	if s.Expect == current.revision || !sameAttempt && !superseded && !expired {
--- a/internal/traffic/recorder/recorder_test.go
+++ b/internal/traffic/recorder/recorder_test.go
@@ -91,6 +91,33 @@
 	}
 }
 
+// A daemon whose first write of an order is not settled must leave alone what
+// another daemon has recorded for the same attempt.
+func TestUnsettledWriteOfOrderThatRuns(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fakeFleet) {
+		f.services.faults = []sendFault{sendSlow}
+		first := make(chan Order, 1)
+		go func() {
+			o, err := f.daemons[0].runner.Submit(t.Context(), submission(false))
+			if err != nil {
+				t.Error(err)
+			}
+			first <- o
+		}()
+		time.Sleep(time.Second)
+		f.store.set(func(s *fakeStore) { s.delay = 1 })
+		if o, err := f.daemons[1].runner.Submit(t.Context(), submission(false)); err == nil {
+			t.Errorf("got order %s while its write is not settled, want a refusal", o.State)
+		}
+		if o := <-first; o.State != StateDone {
+			t.Errorf("got order %s, want done", o.State)
+		}
+		if o := f.record(t); o.State != StateDone || f.services.runs[testKey] != 1 {
+			t.Errorf("got order %s and %d runs, want done and 1", o.State, f.services.runs[testKey])
+		}
+	})
+}
+
 // A write of a daemon that is lost takes effect after its orders were taken
 // over: it must not bring an order to life that nobody looks after.
 func TestLateWriteOfLostDaemon(t *testing.T) {
