--- a/internal/daemon/assembler/orders.go
+++ b/internal/daemon/assembler/orders.go
@@ -18,7 +18,7 @@
 	rec := recorder.New(recorder.Config{Store: store, Owner: owner})
 	d.orders = recorder.NewRunner(d.ctx, recorder.RunnerConfig{
 		Recorder: rec, Router: rt, View: d.holder.Load, Name: d.settings.Name, Domain: d.settings.Domain,
-		Peers: d.messenger, Tracer: d.tracer, Registry: d.registry,
+		Peers: d.messenger, Tracer: d.tracer, Logger: d.logger, Registry: d.registry,
 	})
 	return rec
 }
--- a/internal/traffic/recorder/adopter.go
+++ b/internal/traffic/recorder/adopter.go
@@ -80,7 +80,7 @@
 func (r *Runner) adoptGone(ctx context.Context) {
 	for _, m := range r.cfg.View().Members {
 		owner := OwnerName(m.Name, m.Incarnation)
-		if r.dead(owner) && r.chosen(owner) == r.cfg.Name {
+		if r.dead(owner) && !r.wasAdopted(owner) && r.chosen(owner) == r.cfg.Name {
 			r.adopt(ctx, owner, false)
 		}
 	}
@@ -129,33 +129,45 @@
 // dead reports whether an owner has been gone for long enough. A daemon that
 // runs again under the same name is another owner.
 func (r *Runner) dead(owner string) bool {
-	limit := time.Duration(0)
+	if owner == r.cfg.Recorder.cfg.Owner {
+		return false
+	}
+	grace := strangerTime
 	for _, m := range r.cfg.View().Members {
-		if OwnerName(m.Name, m.Incarnation) != owner {
-			continue
-		}
-		if m.State != viewer.StateGone {
-			limit = -1
-		} else {
-			limit = goneTime
+		switch {
+		case OwnerName(m.Name, m.Incarnation) != owner:
+			if ran, _, _ := strings.Cut(owner, "/"); ran == m.Name {
+				grace = 0 // The daemon was started anew.
+			}
+		case m.State == viewer.StateGone:
+			grace = goneTime
+		default:
+			r.present(owner)
+			return false
 		}
 	}
-	if limit == 0 {
-		limit = strangerTime
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if limit < 0 || owner == r.cfg.Recorder.cfg.Owner {
-		delete(r.absent, owner)
-		return false
-	}
-	now := r.now()
 	since, ok := r.absent[owner]
 	if !ok {
-		r.absent[owner] = now
-		return false
+		since = r.now()
+		r.absent[owner] = since
 	}
-	return now.Sub(since) >= limit
+	return r.now().Sub(since) >= grace
+}
+
+// present notes that an owner is there, maybe again.
+func (r *Runner) present(owner string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.absent, owner)
+	delete(r.adopted, owner)
+}
+
+func (r *Runner) wasAdopted(owner string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.adopted[owner]
 }
 
 // adopt takes a journal's orders to their end, in the background.
--- a/internal/traffic/recorder/carry.go
+++ b/internal/traffic/recorder/carry.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -202,6 +203,10 @@
 		return
 	}
 	meter.Count(r.cfg.Registry, 1, "orders_ended_total", "state", string(s.Next.State))
+	if s.Next.State == StateUnknown {
+		// A logger that fails has nowhere to say so.
+		_ = level.Warn(r.cfg.Logger).Log("msg", "order unknown", "order", o.ID, "route", o.Route, "endpoint", o.Endpoint, "reason", s.Next.Reason)
+	}
 	grace := time.AfterFunc(answerGrace, func() { j.finish(s.Next) })
 	defer grace.Stop()
 	if final, ok := r.settle(ctx, s); ok {
--- a/internal/traffic/recorder/recorder_test.go
+++ b/internal/traffic/recorder/recorder_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/traffic/refuser"
 )
 
@@ -161,6 +162,64 @@
 	})
 }
 
+// A draining daemon leaves what is queued to another one at once, and what it
+// cannot write while the store is away.
+func TestDrainHandsOver(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// started says that the order runs when the drain begins.
+		started bool
+	}{{"queued", false}, {"answered while the store is away", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			inFleet(t, func(t *testing.T, f *fakeFleet) {
+				f.services.faults = []sendFault{sendSlow}
+				f.services.set(!tc.started)
+				if _, err := f.daemons[0].runner.Submit(t.Context(), submission(true)); err != nil {
+					t.Fatal(err)
+				}
+				f.store.set(func(s *fakeStore) { s.down = tc.started })
+				f.drain(f.daemons[0])
+				f.wg.Wait()
+				f.services.set(false)
+				f.store.set(func(s *fakeStore) { s.down = false })
+				// Below the time after which the daemon counts as gone.
+				time.Sleep(unheardTime / 2)
+				if o := f.record(t); o.State != StateDone && tc.started || o.Owner == f.daemons[0].runner.cfg.Recorder.cfg.Owner && !tc.started {
+					t.Errorf("got order %s owned by %s, want it with another daemon", o.State, o.Owner)
+				}
+			})
+		})
+	}
+}
+
+func TestDeadOwner(t *testing.T) {
+	member := viewer.Member{Name: "entry-1", Incarnation: 7}
+	for _, tc := range []struct {
+		name    string
+		members []viewer.Member
+		after   time.Duration
+		want    bool
+	}{
+		{"alive", []viewer.Member{member}, time.Hour, false},
+		{"just gone", []viewer.Member{{Name: "entry-1", Incarnation: 7, State: viewer.StateGone}}, goneTime / 2, false},
+		{"gone", []viewer.Member{{Name: "entry-1", Incarnation: 7, State: viewer.StateGone}}, goneTime, true},
+		{"started anew", []viewer.Member{{Name: "entry-1", Incarnation: 8}}, 0, true},
+		{"never seen", nil, strangerTime / 2, false},
+		{"not seen for long", nil, strangerTime, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			r := NewRunner(t.Context(), RunnerConfig{
+				Recorder: New(Config{Owner: "entry-2/1"}), View: func() viewer.View { return viewer.View{}.WithMembers(tc.members) },
+			})
+			r.dead("entry-1/7")
+			time.Sleep(tc.after)
+			if got := r.dead("entry-1/7"); got != tc.want {
+				t.Errorf("%s: got dead %t, want %t", tc.name, got, tc.want)
+			}
+		})
+	}
+}
+
 func TestRecordFitsTheStore(t *testing.T) {
 	const maxBody, keptAnswer = 256 << 10, 512 << 10
 	o := Order{ID: "order", State: StateDispatched, Request: Request{Body: make([]byte, maxBody)}}
--- a/internal/traffic/recorder/runner.go
+++ b/internal/traffic/recorder/runner.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -54,6 +55,8 @@
 	Services Services
 	// Tracer starts a span for each store write and each attempt.
 	Tracer tracer.Tracer
+	// Logger receives the orders whose end stays unknown.
+	Logger log.Logger
 	// Registry receives counters.
 	Registry metrics.Registry
 }
@@ -90,6 +93,9 @@
 
 // NewRunner returns a runner whose orders live until ctx ends.
 func NewRunner(ctx context.Context, cfg RunnerConfig) *Runner {
+	if cfg.Logger == nil {
+		cfg.Logger = log.NewNopLogger()
+	}
 	if cfg.Services == nil {
 		cfg.Services = HTTPServices{}
 	}
@@ -167,7 +173,7 @@
 // begin connects to a service, lists the order as open, and records it as
 // dispatched. Nothing is written for an order that no service can take.
 func (r *Runner) begin(ctx context.Context, j *job, o Order, async bool) {
-	if r.cfg.Recorder.cfg.Outage.Fresh(r.now()) {
+	if !r.cfg.Recorder.cfg.Outage.Try(r.now()) {
 		j.fail(r.storeRefusal(o, nil))
 		return
 	}
--- a/internal/traffic/refuser/outage.go
+++ b/internal/traffic/refuser/outage.go
@@ -8,7 +8,7 @@
 const (
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
-	// probePeriod is how long a known outage goes without another try.
+	// probePeriod is the time between two tries during an outage.
 	probePeriod = 500 * time.Millisecond
 )
 
@@ -38,12 +38,19 @@
 	o.since = time.Time{}
 }
 
-// Fresh reports whether a try has failed so recently that another one is not
-// worth its wait.
-func (o *Outage) Fresh(now time.Time) bool {
+// Try reports whether to make another try: during an outage only now and then,
+// so that one caller waits for it and all others are refused at once.
+func (o *Outage) Try(now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return !o.since.IsZero() && now.Sub(o.last) < probePeriod
+	if o.since.IsZero() {
+		return true
+	}
+	if now.Sub(o.last) < probePeriod {
+		return false
+	}
+	o.last = now
+	return true
 }
 
 // RetryAfter estimates when a try can help: an outage is expected to go on for
