Ask once more for an order whose end is unknown

A caller who posts or reads an order that ended unknown makes the daemon ask the service again, where it offers a status look-up; an answer that turned up late is recorded. Before, unknown stayed for good (TestLateAnswerOfUnknownOrder).

--- a/internal/daemon/verifier/orders_harness_test.go
+++ b/internal/daemon/verifier/orders_harness_test.go
@@ -34,7 +34,7 @@
 
 // newDesk starts daemons in failure domains of their own; platform, if set,
 // stands in for the platform's address.
-func newDesk(t *testing.T, daemons int, platform func(*cluster) string) *desk {
+func newDesk(t testing.TB, daemons int, platform func(*cluster) string) *desk {
 	t.Helper()
 	d := &desk{cluster: newCluster(t)}
 	var o daemonOptions
--- a/internal/traffic/listener/service.go
+++ b/internal/traffic/listener/service.go
@@ -170,7 +170,7 @@
 		refuser.Write(w, err)
 		return
 	}
-	o, err := l.cfg.Recorder.Get(r.Context(), chi.URLParam(r, "id"))
+	o, err := l.cfg.Runner.Read(r.Context(), chi.URLParam(r, "id"))
 	if errors.Is(err, storer.ErrNotFound) || err == nil && o.Organisation != org.Name {
 		refuser.Write(w, &refuser.Refusal{Status: http.StatusNotFound, Title: "unknown-order", Detail: "no such order of this organisation"})
 		return
--- a/internal/traffic/recorder/lookup.go
+++ b/internal/traffic/recorder/lookup.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/fleet/viewer"
 )
 
@@ -53,7 +54,7 @@
 	if route.Status == "" {
 		return nil, fmt.Sprintf("route %q has no status look-up", o.Route)
 	}
-	path := strings.ReplaceAll(route.Status, "{key}", url.PathEscape(o.Key))
+	path := statusPath(route, o)
 	began := r.now()
 	absent := began
 	why := "the service could not be asked"
@@ -79,6 +80,40 @@
 	return nil, why
 }
 
+// Read returns an order by its id. If its end is unknown, the service is asked
+// once more: an answer that turns up late is recorded.
+func (r *Runner) Read(ctx context.Context, id string) (Order, error) {
+	o, err := r.cfg.Recorder.Get(ctx, id)
+	if err != nil {
+		return o, err
+	}
+	return r.revisit(ctx, o), nil
+}
+
+func (r *Runner) revisit(ctx context.Context, o Order) Order {
+	route, _ := r.cfg.View().Set.Route(o.Route)
+	if o.State != StateUnknown || route.Status == "" {
+		return o
+	}
+	report, err := r.report(ctx, o, statusPath(route, o))
+	if err != nil || report.State != reportDone {
+		return o
+	}
+	s, err := r.cfg.Recorder.finish(o, report.answer())
+	if err != nil {
+		return o
+	}
+	done, err := r.try(ctx, s)
+	if err != nil {
+		return o
+	}
+	return done
+}
+
+func statusPath(route loader.Route, o Order) string {
+	return strings.ReplaceAll(route.Status, "{key}", url.PathEscape(o.Key))
+}
+
 // report asks the endpoint that the order was sent to, or else the others of
 // its route.
 func (r *Runner) report(ctx context.Context, o Order, path string) (Report, error) {
--- a/internal/traffic/recorder/recorder_test.go
+++ b/internal/traffic/recorder/recorder_test.go
@@ -291,3 +291,25 @@
 		})
 	}
 }
+
+// An answer that turns up after the end of an order was given up is recorded.
+func TestLateAnswerOfUnknownOrder(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fakeFleet) {
+		f.services.faults = []sendFault{sendCutBefore}
+		runner := f.daemons[0].runner
+		s := submission(false)
+		s.Route = "desk"
+		o, err := runner.Submit(t.Context(), s)
+		if err != nil || o.State != StateUnknown {
+			t.Fatalf("got order %s (%v), want unknown", o.State, err)
+		}
+		f.services.run(testKey, 0)
+		again, err := f.daemons[1].runner.Submit(t.Context(), s)
+		read, readErr := runner.Read(t.Context(), o.ID)
+		for _, o := range []Order{again, read} {
+			if o.State != StateDone || string(o.Answer.Body) != testKey+" run 1" {
+				t.Errorf("got order %s (%v, %v), want done with the answer", o.State, err, readErr)
+			}
+		}
+	})
+}
--- a/internal/traffic/recorder/runner.go
+++ b/internal/traffic/recorder/runner.go
@@ -148,10 +148,13 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	known, err := j.wait(ctx, s.Async)
-	if err != nil || known.Ended() || s.Async {
+	if err == nil && !known.Ended() && !s.Async {
+		known, err = r.await(ctx, known)
+	}
+	if err != nil {
 		return known, err
 	}
-	return r.await(ctx, known)
+	return r.revisit(ctx, known), nil
 }
 
 func timeoutOf(r loader.Route) time.Duration {
