--- a/internal/standin/generator/batch.go
+++ b/internal/standin/generator/batch.go
@@ -59,6 +59,9 @@
 	// From is the number of the first token wanted, and Max the length of the
 	// answer; tokens before From are computed like a prompt.
 	From, Max int
+	// Imported is the number of tokens whose cache came from another engine, or
+	// from an earlier attempt.
+	Imported int
 	// Slow is the number of steps that one token takes; 0 is one.
 	Slow int
 	// Emit is called with each token's number, in order.
@@ -176,7 +179,7 @@
 		cached := len(held) * inferrer.BlockTokens
 		// The last token of a prompt is always computed: it yields the first
 		// token of the answer.
-		j.todo = max(1, j.PromptTokens+j.From-cached)
+		j.todo = max(1, j.PromptTokens+j.From-max(cached, j.Imported))
 		b.totals.Cached += int64(j.PromptTokens + j.From - j.todo)
 		b.waiting = b.waiting[1:]
 		b.running = append(b.running, j)
--- a/internal/traffic/relayer/relayer_test.go
+++ b/internal/traffic/relayer/relayer_test.go
@@ -91,7 +91,11 @@
 	n     int
 }
 
-func (s *textSink) Chunk(c inferrer.Chunk) error {
+func (s *textSink) Piece(e inferrer.Piece) error {
+	c, err := e.Chunk()
+	if err != nil {
+		return err
+	}
 	if c.Usage != nil {
 		s.usage = c.Usage
 	}
@@ -180,7 +184,8 @@
 	if err := b.relayer.Run(t.Context(), b.job("r"), &sink); err != nil {
 		t.Fatal(err)
 	}
-	want := inferrer.Usage{PromptTokens: 5, CompletionTokens: testTokens, TotalTokens: 5 + testTokens}
+	prompt := inferrer.Tokens(testPrompt)
+	want := inferrer.Usage{PromptTokens: prompt, CompletionTokens: testTokens, TotalTokens: prompt + testTokens}
 	if sink.usage == nil || *sink.usage != want {
 		t.Errorf("got usage %+v, want %+v", sink.usage, want)
 	}
