Bound what is in flight by the latency seen, and share it by weight

A fixed bound was ruled out: no daemon knows the endpoints' capacity.

A gate per route follows the 90th percentile of latencies against the target, queues briefly, refuses at once with the time that the queue will take, and gives places by weight: within the share first, then by class, then by least in flight for the weight. What is lent has a lower band of its own: with one limit the others' p95 moved by up to 18% under a greedy organisation. Not wired in yet.

--- /dev/null
+++ b/internal/traffic/admitter/gate.go
@@ -0,0 +1,347 @@
+package admitter
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"pomelotiller/internal/config/loader"
+)
+
+const (
+	// waitPart is the part of the target for the first token that a request may
+	// spend in the queue.
+	waitPart = 0.5
+	// meanSteps is the number of requests over which a mean is smoothed.
+	meanSteps = 32
+)
+
+// Usage is what a daemon has in flight on one route.
+type Usage struct {
+	Limit         float64        `cbor:"1,keyasint"`
+	Organisations map[string]int `cbor:"2,keyasint"`
+}
+
+// Entry is a request that asks for a place.
+type Entry struct {
+	Organisation string
+	Weight       int
+	Priority     loader.Priority
+	// Deadline is when the caller wants the whole answer; zero is never.
+	Deadline time.Time
+	// Start is called once when the request gets its place, Refuse once if it
+	// does not. Neither is called with a lock held.
+	Start  func()
+	Refuse func(retryAfter time.Duration)
+
+	arrived time.Time
+}
+
+// Gate bounds what a daemon has in flight on one route, so that the endpoints
+// meet the latency target, and shares it out by weight. Its limit follows the
+// latencies seen. It reads no clock, and is safe for concurrent use.
+type Gate struct {
+	target loader.Target
+
+	mu        sync.Mutex
+	own, lent limit
+	inFlight  int
+	changed   time.Time
+	ratios    []float64
+	// least is the least latency seen, as a part of its target.
+	least float64
+	// mean is the mean time that a request holds its place.
+	mean  time.Duration
+	orgs  map[string]*tenant
+	peers map[string]Usage
+}
+
+// tenant is the state of one organisation at a gate.
+type tenant struct {
+	name     string
+	weight   int
+	inFlight int
+	queue    []*Entry
+	// peers is what other daemons have in flight for it.
+	peers int
+}
+
+// NewGate returns a gate for a latency target.
+func NewGate(t loader.Target) *Gate {
+	return &Gate{target: t, own: newLimit(ownBand), lent: newLimit(lentBand), orgs: make(map[string]*tenant), peers: make(map[string]Usage)}
+}
+
+// Enter starts a request, queues it, or refuses it at once if it would wait too
+// long.
+func (g *Gate) Enter(now time.Time, e *Entry) {
+	g.mu.Lock()
+	t := g.tenant(e)
+	e.arrived = now
+	if len(t.queue) == 0 && g.hasPlace(t) {
+		g.start(t)
+		g.mu.Unlock()
+		e.Start()
+		return
+	}
+	g.limitOf(t).short = true
+	wait := g.wait(t)
+	tooLong := max(0, wait-g.maxWait())
+	if !e.Deadline.IsZero() {
+		tooLong = max(tooLong, now.Add(wait+g.mean).Sub(e.Deadline))
+	}
+	if tooLong > 0 {
+		g.mu.Unlock()
+		e.Refuse(boundRetry(tooLong))
+		return
+	}
+	t.queue = append(t.queue, e)
+	g.mu.Unlock()
+}
+
+// Leave takes a request out of the queue whose caller is gone. It reports false
+// if the request has a place already.
+func (g *Gate) Leave(e *Entry) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.orgs[e.Organisation]
+	i := slices.Index(t.queue, e)
+	if i < 0 {
+		return false
+	}
+	t.queue = slices.Delete(t.queue, i, i+1)
+	return true
+}
+
+// End gives back a place that was held for some time.
+func (g *Gate) End(now time.Time, organisation string, held time.Duration) {
+	g.mu.Lock()
+	g.orgs[organisation].inFlight--
+	g.inFlight--
+	if g.mean == 0 {
+		g.mean = held
+	}
+	g.mean += (held - g.mean) / meanSteps
+	g.adapt(now)
+	started, refused := g.next(now)
+	retry := boundRetry(time.Duration(float64(g.mean) / g.own.value))
+	g.mu.Unlock()
+	for _, e := range started {
+		e.Start()
+	}
+	for _, e := range refused {
+		e.Refuse(retry)
+	}
+}
+
+// Observe notes a latency as a part of its target.
+func (g *Gate) Observe(ratio float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ratios = append(g.ratios, ratio)
+}
+
+// SetPeer takes in what another daemon has in flight.
+func (g *Gate) SetPeer(daemon string, u Usage) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.peers[daemon] = u
+	g.sumPeers()
+}
+
+// DropPeer forgets a daemon that is gone.
+func (g *Gate) DropPeer(daemon string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.peers, daemon)
+	g.sumPeers()
+}
+
+func (g *Gate) sumPeers() {
+	for name, t := range g.orgs {
+		t.peers = 0
+		for _, u := range g.peers {
+			t.peers += u.Organisations[name]
+		}
+	}
+}
+
+// Usage returns what this daemon has in flight.
+func (g *Gate) Usage() Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	u := Usage{Limit: g.own.value, Organisations: make(map[string]int)}
+	for name, t := range g.orgs {
+		if t.inFlight > 0 {
+			u.Organisations[name] = t.inFlight
+		}
+	}
+	return u
+}
+
+// tenant returns an organisation's state. The caller holds the lock, as for all
+// methods below.
+func (g *Gate) tenant(e *Entry) *tenant {
+	t := g.orgs[e.Organisation]
+	if t == nil {
+		t = &tenant{name: e.Organisation}
+		g.orgs[e.Organisation] = t
+		for _, u := range g.peers {
+			t.peers += u.Organisations[e.Organisation]
+		}
+	}
+	t.weight = max(1, e.Weight)
+	return t
+}
+
+func (g *Gate) start(t *tenant) {
+	t.inFlight++
+	g.inFlight++
+	g.own.peak = max(g.own.peak, g.inFlight)
+	g.lent.peak = max(g.lent.peak, g.inFlight)
+}
+
+// hasPlace reports whether a request of an organisation may start now.
+func (g *Gate) hasPlace(t *tenant) bool {
+	return float64(g.inFlight+1) <= min(g.own.value, g.limitOf(t).value)
+}
+
+// limitOf returns the limit that holds for an organisation at present.
+func (g *Gate) limitOf(t *tenant) *limit {
+	if t.isWithin(g.unit()) {
+		return &g.own
+	}
+	return &g.lent
+}
+
+// isWithin reports whether an organisation is below its share, given the share
+// of a weight of one.
+func (t *tenant) isWithin(unit float64) bool { return t.load() < unit }
+
+// unit returns the share of a weight of one, over all daemons, among the
+// organisations that want places.
+func (g *Gate) unit() float64 {
+	weights, total := 0, g.own.value
+	for _, t := range g.orgs {
+		if t.inFlight+t.peers+len(t.queue) > 0 {
+			weights += t.weight
+		}
+	}
+	for _, u := range g.peers {
+		total += u.Limit
+	}
+	return total / float64(max(1, weights))
+}
+
+// wait returns how long a request at the end of an organisation's queue waits.
+// Places come free at the rate limit / mean. The next ones go to organisations
+// below their shares; all others get them by their weights.
+func (g *Gate) wait(t *tenant) time.Duration {
+	each := float64(g.mean) / g.own.value
+	unit := g.unit()
+	if float64(t.inFlight+t.peers+len(t.queue)) < unit*float64(t.weight) {
+		ahead := 1
+		for _, o := range g.orgs {
+			if o == t || o.isWithin(unit) {
+				ahead += len(o.queue)
+			}
+		}
+		return time.Duration(each * float64(ahead))
+	}
+	weights := t.weight
+	for _, o := range g.orgs {
+		if o != t && len(o.queue) > 0 {
+			weights += o.weight
+		}
+	}
+	return time.Duration(each * float64((len(t.queue)+1)*weights) / float64(t.weight))
+}
+
+func (g *Gate) maxWait() time.Duration {
+	return time.Duration(waitPart * float64(firstTarget(g.target)))
+}
+
+// next starts as many queued requests as there are places, and returns them
+// with those that have waited too long.
+func (g *Gate) next(now time.Time) (started, refused []*Entry) {
+	for t := g.neediest(); t != nil; t = g.neediest() {
+		e := t.queue[0]
+		t.queue = t.queue[1:]
+		if now.Sub(e.arrived) > 2*g.maxWait() || !e.Deadline.IsZero() && now.Add(g.mean).After(e.Deadline) {
+			refused = append(refused, e)
+			continue
+		}
+		g.start(t)
+		started = append(started, e)
+	}
+	return started, refused
+}
+
+// neediest returns the organisation whose turn it is: one below its share goes
+// before one above it, then the higher priority class, then the one with the
+// least in flight for its weight, here and at other daemons.
+func (g *Gate) neediest() *tenant {
+	var best *tenant
+	unit := g.unit()
+	for _, t := range g.orgs {
+		if len(t.queue) > 0 && g.hasPlace(t) && (best == nil || compare(t, best, unit) < 0) {
+			best = t
+		}
+	}
+	return best
+}
+
+// compare orders organisations by need; unit is the share of a weight of one.
+func compare(a, b *tenant, unit float64) int {
+	if over := cmp.Compare(btoi(!a.isWithin(unit)), btoi(!b.isWithin(unit))); over != 0 {
+		return over
+	}
+	if class := cmp.Compare(classOf(b), classOf(a)); class != 0 {
+		return class
+	}
+	if load := cmp.Compare(a.load(), b.load()); load != 0 {
+		return load
+	}
+	return cmp.Compare(a.name, b.name)
+}
+
+// load is what an organisation has in flight for a weight of one.
+func (t *tenant) load() float64 { return float64(t.inFlight+t.peers) / float64(t.weight) }
+
+func classOf(t *tenant) int {
+	switch t.queue[0].Priority {
+	case loader.PriorityHigh:
+		return 1
+	case loader.PriorityLow:
+		return -1
+	}
+	return 0
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// adapt moves the limits so that the latencies come to lie in their bands.
+func (g *Gate) adapt(now time.Time) {
+	if now.Sub(g.changed) < max(window, g.mean) || len(g.ratios) < minSamples {
+		return
+	}
+	slices.Sort(g.ratios)
+	high := g.ratios[len(g.ratios)*9/10]
+	if g.least = min(g.least*forgetting, high); g.least == 0 {
+		g.least = high
+	}
+	g.own.adapt(high, g.least)
+	g.lent.adapt(high, g.least)
+	g.changed, g.ratios = now, g.ratios[:0]
+}
+
+// Ratio returns the latencies of an answer as a part of their targets, the
+// worse of the two.
+func Ratio(t loader.Target, first, gap time.Duration) float64 {
+	return max(float64(first)/float64(firstTarget(t)), float64(gap)/float64(tokenTarget(t)))
+}
--- /dev/null
+++ b/internal/traffic/admitter/limit.go
@@ -0,0 +1,62 @@
+package admitter
+
+import "time"
+
+const (
+	initialLimit = 128
+	minLimit     = 2
+	// limitStep is what a limit in full use gains in a window below its band.
+	limitStep = 2
+	// maxCut bounds the loss of a window above the band.
+	maxCut = 0.7
+	// window is the least time between two changes of a limit; minSamples is
+	// the least number of latencies that a change is based on.
+	window     = time.Second
+	minSamples = 10
+	// forgetting is how much the least latency known grows in a window.
+	forgetting = 1.01
+	// allowance is how far above the least latency the band reaches at least.
+	allowance = 1.25
+)
+
+// band is where latencies are to lie, as a part of their targets.
+type band struct{ low, high float64 }
+
+var (
+	// ownBand is for organisations within their shares.
+	ownBand = band{0.8, 0.85}
+	// lentBand is for organisations above theirs, so that what they borrow
+	// hardly slows the others.
+	lentBand = band{0.7, 0.74}
+)
+
+// limit bounds what is in flight and follows the latencies seen.
+type limit struct {
+	band  band
+	value float64
+	// growing is set until the first latency above the band: the limit doubles.
+	growing bool
+	// short is set when a request found no place since the last change, and
+	// peak is the most in flight since then.
+	short bool
+	peak  int
+}
+
+func newLimit(b band) limit { return limit{band: b, value: initialLimit, growing: true} }
+
+// adapt moves the limit after a window in which nine in ten latencies were
+// below a part of their target. least is what that part is with little in
+// flight; where the target is out of reach, the band lies above it.
+func (l *limit) adapt(ratio, least float64) {
+	ratio /= max(1, allowance*least/l.band.high)
+	switch {
+	case ratio > l.band.high:
+		l.growing = false
+		l.value = max(minLimit, min(l.value, float64(l.peak))*max(maxCut, l.band.high/ratio))
+	case ratio < l.band.low && l.short && l.growing:
+		l.value *= 2
+	case ratio < l.band.low && l.short:
+		l.value += limitStep
+	}
+	l.short, l.peak = false, 0
+}
