--- a/internal/traffic/admitter/gate.go
+++ b/internal/traffic/admitter/gate.go
@@ -49,7 +49,8 @@
 	inFlight  int
 	changed   time.Time
 	ratios    []float64
-	// least is the least latency seen, as a part of its target.
+	// least is the latency with little in flight, as a part of its target; 0
+	// while it is not known.
 	least float64
 	// mean is the mean time that a request holds its place.
 	mean  time.Duration
@@ -332,14 +333,24 @@
 	}
 	slices.Sort(g.ratios)
 	high := g.ratios[len(g.ratios)*9/10]
-	if g.least = min(g.least*forgetting, high); g.least == 0 {
-		g.least = high
-	}
+	g.learnLeast(high)
 	g.own.adapt(high, g.least)
 	g.lent.adapt(high, g.least)
 	g.changed, g.ratios = now, g.ratios[:0]
 }
 
+// learnLeast learns what latency there is without load. Where that alone misses
+// the target, the limits grow anew.
+func (g *Gate) learnLeast(high float64) {
+	if g.own.peak <= smallPeak && high > g.own.band.high && g.least == 0 {
+		g.own.growing, g.lent.growing = true, true
+	}
+	if g.own.peak <= smallPeak {
+		g.least = high
+	}
+	g.least = min(g.least, high)
+}
+
 // Ratio returns the latencies of an answer as a part of their targets, the
 // worse of the two.
 func Ratio(t loader.Target, first, gap time.Duration) float64 {
--- a/internal/traffic/admitter/limit.go
+++ b/internal/traffic/admitter/limit.go
@@ -8,20 +8,30 @@
 	// limitStep is what a limit in full use gains in a window below its band.
 	limitStep = 2
 	// maxCut bounds the loss of a window above the band.
-	maxCut = 0.7
+	maxCut = 0.5
 	// window is the least time between two changes of a limit; minSamples is
 	// the least number of latencies that a change is based on.
 	window     = time.Second
 	minSamples = 10
-	// forgetting is how much the least latency known grows in a window.
-	forgetting = 1.01
-	// allowance is how far above the least latency the band reaches at least.
-	allowance = 1.25
+	// smallPeak is how much in flight tells what latency there is without load.
+	smallPeak = 16
+	// allowance is how far above the least latency the band reaches at least,
+	// though not above a target that can be met.
+	allowance = 1.5
 )
 
 // band is where latencies are to lie, as a part of their targets.
 type band struct{ low, high float64 }
 
+// scale returns by how much the band lies higher because of a least latency.
+func (b band) scale(least float64) float64 {
+	s := max(1, allowance*least/b.high)
+	if least < 1 {
+		return min(s, 1/b.high)
+	}
+	return s
+}
+
 var (
 	// ownBand is for organisations within their shares.
 	ownBand = band{0.8, 0.85}
@@ -46,9 +56,9 @@
 
 // adapt moves the limit after a window in which nine in ten latencies were
 // below a part of their target. least is what that part is with little in
-// flight; where the target is out of reach, the band lies above it.
+// flight, or 0; where the target is out of reach, the band lies above it.
 func (l *limit) adapt(ratio, least float64) {
-	ratio /= max(1, allowance*least/l.band.high)
+	ratio /= l.band.scale(least)
 	switch {
 	case ratio > l.band.high:
 		l.growing = false
