--- a/internal/daemon/assembler/stopping.go
+++ b/internal/daemon/assembler/stopping.go
@@ -42,6 +42,7 @@
 	}
 	d.log("msg", "draining")
 	d.gossiper.SetState(viewer.StateLeaving)
+	d.orders.Release()
 }
 
 func (d *Daemon) serveOperators(ctx context.Context) error {
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -80,6 +80,8 @@
 	MaxAttempts int
 	// Patience bounds the wait of an answer that has begun for an engine.
 	Patience time.Duration
+	// Outcomes takes the outcome of each attempt; nil takes none.
+	Outcomes Outcomes
 }
 
 // Relayer carries completions. All methods are safe for concurrent use.
@@ -118,8 +120,10 @@
 			return r.refuse(ctx, job, p, errors.Join(p.last, err))
 		}
 		p.version = choice.Version
+		p.seen = observation{started: time.Now()}
 		err = r.attempt(ctx, job, p, choice, n, sink)
 		choice.Release()
+		r.report(ctx, job, choice, n, p.seen, err)
 		if err == nil {
 			r.outages.end(choice.Version, time.Since(start))
 			return nil
@@ -143,6 +147,7 @@
 	default:
 		p.exclude[c.Endpoint.Name] = true
 	}
+	p.version = nextVersion(r.cfg.View().Split(job.Route), c.Version, p.begun(), err)
 	p.fruitless++
 	meter.Count(r.cfg.Registry, 1, "attempt_failures_total", "route", job.Route.Name, "version", c.Version, "cause", causeOf(err))
 	if errors.Is(err, inferrer.ErrLeaving) && r.cfg.Leaving != nil {
