Let completions in by gates, and tell peers what is in flight

Each model route has a gate at each daemon. What a daemon has in flight for each organisation spreads by gossip when it has changed by more than an eighth, at most once a second; no request makes a call. A retry that could add to an overload is paid for by ten requests. Refusals are sent at once, as not run, with the time that the queue will take.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -67,6 +67,7 @@
 	control   *controller.Controller
 	watcher   *publisher.Watcher
 	prober    *prober.Prober
+	admitter  *admitter.Admitter
 	relayer   *relayer.Relayer
 	listener  *listener.Listener
 	orders    *recorder.Runner
@@ -142,19 +143,21 @@
 		Report:    d.reported,
 	})
 	d.gossiper.Subscribe(leavingTopic, d.learnLeaving)
+	d.gossiper.Subscribe(usageTopic, d.learnUsage)
 	d.buildTraffic(store, recorder.OwnerName(s.Name, incarnation))
 }
 
 func (d *Daemon) buildTraffic(store storer.Store, owner string) {
 	s := d.settings
 	rt := router.New(router.Config{})
+	d.admitter = admitter.New()
 	rec := d.buildOrders(store, owner, rt)
 	d.relayer = relayer.New(relayer.Config{
 		View: d.holder.Load, Router: rt, Domain: s.Domain, HTTP: inferrer.NewHTTP(), Tracer: d.tracer, Registry: d.registry,
-		Leaving: d.refusedByLeaving, Outcomes: d.moves.follower,
+		Leaving: d.refusedByLeaving, Retry: d.admitter.Budget.Take, Outcomes: d.moves.follower,
 	})
 	d.listener = listener.New(listener.Config{
-		View: d.holder.Load, Admitter: admitter.New(), Recorder: rec, Tracer: d.tracer, Registry: d.registry,
+		View: d.holder.Load, Admitter: d.admitter, Recorder: rec, Tracer: d.tracer, Registry: d.registry,
 		Relayer: d.relayer, Stopping: d.stopping, Runner: d.orders,
 	})
 	d.informer = informer.New(informer.Config{
@@ -207,7 +210,7 @@
 	var g errgroup.Group
 	for _, f := range append([]func(context.Context) error{
 		d.messenger.Run, d.gossiper.Run, d.control.Run, d.control.RunHosts,
-		d.watcher.RunStore, d.watcher.RunPeers, d.prober.Run, d.serveOperators, d.orders.Run,
+		d.watcher.RunStore, d.watcher.RunPeers, d.prober.Run, d.serveOperators, d.orders.Run, d.runLimits,
 	}, d.moves.runs()...) {
 		g.Go(func() error {
 			defer endServing()
--- a/internal/traffic/admitter/admitter.go
+++ b/internal/traffic/admitter/admitter.go
@@ -1,5 +1,6 @@
 // Package admitter decides which requests are let in: it knows callers by their
-// keys and holds each organisation to its rate.
+// keys, holds each organisation to its rate, and bounds what is in flight so
+// that the latency target is met and each organisation gets its share.
 package admitter
 
 import (
@@ -20,13 +21,21 @@
 
 // Admitter lets requests in. All methods are safe for concurrent use.
 type Admitter struct {
+	// Budget bounds the retries of the requests let in.
+	Budget *Budget
+
 	mu       sync.Mutex
 	limiters map[string]*rate.Limiter
+	gates    map[string]*Gate
+	peers    map[string]map[string]Usage
 }
 
 // New returns an admitter.
 func New() *Admitter {
-	return &Admitter{limiters: make(map[string]*rate.Limiter)}
+	return &Admitter{
+		Budget: NewBudget(), limiters: make(map[string]*rate.Limiter),
+		gates: make(map[string]*Gate), peers: make(map[string]map[string]Usage),
+	}
 }
 
 // HashKey returns the form of an organisation's key in the configuration.
--- a/internal/traffic/admitter/gate.go
+++ b/internal/traffic/admitter/gate.go
@@ -2,11 +2,13 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"pomelotiller/internal/config/loader"
+	"pomelotiller/internal/traffic/refuser"
 )
 
 const (
@@ -93,7 +95,7 @@
 	}
 	if tooLong > 0 {
 		g.mu.Unlock()
-		e.Refuse(boundRetry(tooLong))
+		e.Refuse(refuser.BoundRetry(tooLong))
 		return
 	}
 	t.queue = append(t.queue, e)
@@ -125,7 +127,7 @@
 	g.mean += (held - g.mean) / meanSteps
 	g.adapt(now)
 	started, refused := g.next(now)
-	retry := boundRetry(time.Duration(float64(g.mean) / g.own.value))
+	retry := refuser.BoundRetry(time.Duration(float64(g.mean) / g.own.value))
 	g.mu.Unlock()
 	for _, e := range started {
 		e.Start()
@@ -356,3 +358,25 @@
 func Ratio(t loader.Target, first, gap time.Duration) float64 {
 	return max(float64(first)/float64(firstTarget(t)), float64(gap)/float64(tokenTarget(t)))
 }
+
+// Differ reports whether usages have changed so much that other daemons should
+// know: by more than an eighth and more than two.
+func Differ(old, now map[string]Usage) bool {
+	if len(old) != len(now) {
+		return true
+	}
+	for route, u := range now {
+		was := old[route]
+		if isFar(was.Limit, u.Limit) || len(was.Organisations) != len(u.Organisations) {
+			return true
+		}
+		for name, n := range u.Organisations {
+			if isFar(float64(was.Organisations[name]), float64(n)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func isFar(old, now float64) bool { return math.Abs(now-old) > max(2, old/8) }
--- a/internal/traffic/admitter/retry.go
+++ b/internal/traffic/admitter/retry.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	minRetryAfter      = time.Second
-	maxRetryAfter      = 30 * time.Second
 	defaultFirstTarget = time.Second
 	defaultTokenTarget = 50 * time.Millisecond
 	// retryPart is the number of retries that each request pays for, and
@@ -18,8 +16,6 @@
 	retryBurst = 50
 )
 
-func boundRetry(d time.Duration) time.Duration { return min(maxRetryAfter, max(minRetryAfter, d)) }
-
 func firstTarget(t loader.Target) time.Duration {
 	if t.First > 0 {
 		return t.First.Std()
--- a/internal/traffic/listener/answer.go
+++ b/internal/traffic/listener/answer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/traffic/admitter"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/relayer"
 )
@@ -115,14 +116,28 @@
 	return s.control.Flush()
 }
 
+// timedSink notes the time of each token.
+type timedSink struct {
+	relayer.Sink
+	ticket *admitter.Ticket
+}
+
+// Piece implements relayer.Sink.
+func (s timedSink) Piece(p inferrer.Piece) error {
+	if len(p.Choices) > 0 {
+		s.ticket.Token()
+	}
+	return s.Sink.Piece(p)
+}
+
 // errorEvent ends a stream that cannot be finished.
 type errorEvent struct {
 	Error refuser.Problem `json:"error"`
 }
 
-func (l *Listener) streamAnswer(ctx context.Context, w http.ResponseWriter, job relayer.Job) {
+func (l *Listener) streamAnswer(ctx context.Context, w http.ResponseWriter, job relayer.Job, t *admitter.Ticket) {
 	sink := newEventSink(w, job)
-	err := l.cfg.Relayer.Run(ctx, job, sink)
+	err := l.cfg.Relayer.Run(ctx, job, timedSink{sink, t})
 	// A write fails only once the caller is gone.
 	if err == nil {
 		_, _ = w.Write(doneEvent)
@@ -187,9 +202,9 @@
 	return a
 }
 
-func (l *Listener) wholeAnswer(ctx context.Context, w http.ResponseWriter, job relayer.Job) {
+func (l *Listener) wholeAnswer(ctx context.Context, w http.ResponseWriter, job relayer.Job, t *admitter.Ticket) {
 	sink := &wholeSink{}
-	if err := l.cfg.Relayer.Run(ctx, job, sink); err != nil {
+	if err := l.cfg.Relayer.Run(ctx, job, timedSink{sink, t}); err != nil {
 		refuser.Write(w, err)
 		return
 	}
--- a/internal/traffic/listener/completion.go
+++ b/internal/traffic/listener/completion.go
@@ -20,7 +20,7 @@
 )
 
 func (l *Listener) serveCompletion(w http.ResponseWriter, r *http.Request) {
-	job, err := l.admitCompletion(w, r)
+	job, org, err := l.admitCompletion(w, r)
 	if err != nil {
 		refuser.Write(w, err)
 		return
@@ -31,42 +31,48 @@
 		return
 	}
 	defer cancel()
+	ticket, err := l.cfg.Admitter.Enter(ctx, job.Route, org)
+	if err != nil {
+		refuser.Write(w, err)
+		return
+	}
+	defer ticket.End()
 	w.Header().Set(inferrer.HeaderRequest, job.Request)
 	if job.Prompt.Stream {
-		l.streamAnswer(ctx, w, job)
+		l.streamAnswer(ctx, w, job, ticket)
 		return
 	}
-	l.wholeAnswer(ctx, w, job)
+	l.wholeAnswer(ctx, w, job, ticket)
 }
 
-func (l *Listener) admitCompletion(w http.ResponseWriter, r *http.Request) (relayer.Job, error) {
+func (l *Listener) admitCompletion(w http.ResponseWriter, r *http.Request) (relayer.Job, loader.Organisation, error) {
 	_, span := l.cfg.Tracer.Start(r.Context(), "admit")
 	defer span.End()
 	v := l.cfg.View()
 	org, err := l.cfg.Admitter.Identify(v, r)
 	if err != nil {
-		return relayer.Job{}, err
+		return relayer.Job{}, org, err
 	}
 	body, err := readBody(w, r, maxBodyBytes)
 	if err != nil {
-		return relayer.Job{}, err
+		return relayer.Job{}, org, err
 	}
 	job := relayer.Job{Request: uuid.NewString(), Path: r.URL.Path, Priority: org.Priority}
 	if err := json.Unmarshal(body, &job.Fields); err != nil {
-		return job, malformed(err)
+		return job, org, malformed(err)
 	}
 	if err := json.Unmarshal(body, &job.Prompt); err != nil {
-		return job, malformed(err)
+		return job, org, malformed(err)
 	}
 	route, ok := v.Set.Route(job.Prompt.Model)
 	if !ok || route.Kind != loader.KindModel {
-		return job, &refuser.Refusal{
+		return job, org, &refuser.Refusal{
 			Status: http.StatusNotFound, Title: "unknown-model",
 			Detail: fmt.Sprintf("model %q is not a route; want one of %s", job.Prompt.Model, routeNames(v.Set, loader.KindModel)),
 		}
 	}
 	job.Route = route
-	return job, l.cfg.Admitter.Admit(v, org)
+	return job, org, l.cfg.Admitter.Admit(v, org)
 }
 
 func malformed(err error) error {
--- a/internal/traffic/refuser/outage.go
+++ b/internal/traffic/refuser/outage.go
@@ -54,5 +54,8 @@
 	if o.since.IsZero() {
 		return minRetryAfter
 	}
-	return min(max(now.Sub(o.since), minRetryAfter), maxRetryAfter)
+	return BoundRetry(now.Sub(o.since))
 }
+
+// BoundRetry returns d within the bounds of a Retry-After.
+func BoundRetry(d time.Duration) time.Duration { return min(max(d, minRetryAfter), maxRetryAfter) }
--- a/internal/traffic/relayer/outage.go
+++ b/internal/traffic/relayer/outage.go
@@ -5,51 +5,59 @@
 	"time"
 
 	"pomelotiller/internal/fleet/viewer"
+	"pomelotiller/internal/traffic/refuser"
 )
 
-const (
-	minRetryAfter = time.Second
-	maxRetryAfter = 30 * time.Second
-	// meanSteps is the number of answers over which their mean time is smoothed.
-	meanSteps = 16
-)
+// meanSteps is the number of answers over which their mean time is smoothed.
+const meanSteps = 16
 
 // outages knows since when each version cannot be served, and how long its
 // answers take.
 type outages struct {
-	mu    sync.Mutex
-	since map[string]time.Time
-	mean  map[string]time.Duration
+	mu     sync.Mutex
+	states map[string]*serving
+}
+
+// serving is how a version is served.
+type serving struct {
+	outage refuser.Outage
+	mean   time.Duration
+}
+
+// state returns the state of a version. The caller holds the lock.
+func (o *outages) state(version string) *serving {
+	if o.states == nil {
+		o.states = make(map[string]*serving)
+	}
+	s := o.states[version]
+	if s == nil {
+		s = &serving{}
+		o.states[version] = s
+	}
+	return s
 }
 
 // end notes that an answer of a version took some time.
 func (o *outages) end(version string, took time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.since, version)
-	if o.mean == nil {
-		o.mean = make(map[string]time.Duration)
-	}
-	old, ok := o.mean[version]
-	if !ok {
-		old = took
+	s := o.state(version)
+	s.outage.End()
+	if s.mean == 0 {
+		s.mean = took
 	}
-	o.mean[version] = old + (took-old)/meanSteps
+	s.mean += (took - s.mean) / meanSteps
 }
 
 // rest notes that a version could not be served, and returns how long the
-// outage is expected to last yet: as long as it has lasted.
+// outage is expected to last yet.
 func (o *outages) rest(version string) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	s := o.state(version)
 	now := time.Now()
-	if o.since == nil {
-		o.since = make(map[string]time.Time)
-	}
-	if o.since[version].IsZero() {
-		o.since[version] = now
-	}
-	return boundRetry(now.Sub(o.since[version]))
+	s.outage.Fail(now)
+	return s.outage.RetryAfter(now)
 }
 
 // queue returns when a place is expected at the engines of a version, which are
@@ -64,9 +72,5 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return boundRetry(o.mean[version] * time.Duration(waiting+1) / time.Duration(max(1, running)))
-}
-
-func boundRetry(d time.Duration) time.Duration {
-	return min(maxRetryAfter, max(minRetryAfter, d))
+	return refuser.BoundRetry(o.state(version).mean * time.Duration(waiting+1) / time.Duration(max(1, running)))
 }
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -74,7 +74,7 @@
 	// leaving.
 	Leaving func(e viewer.Endpoint)
 	// Retry, if set, says whether another engine may be tried for an answer
-	// that has not begun.
+	// that has not begun, after a failure that may stem from overload.
 	Retry func() bool
 	// MaxAttempts bounds the attempts of a request that bring no new token.
 	MaxAttempts int
@@ -189,7 +189,14 @@
 	case errors.Is(err, errMoved):
 		return false
 	}
-	return r.cfg.Retry != nil && !r.cfg.Retry()
+	return r.cfg.Retry != nil && addsLoad(err) && !r.cfg.Retry()
+}
+
+// addsLoad reports whether trying again after an error can add to an overload.
+func addsLoad(err error) bool {
+	var e *inferrer.StatusError
+	failed := errors.As(err, &e) && e.Status >= http.StatusInternalServerError && !errors.Is(err, inferrer.ErrLeaving)
+	return failed || errors.Is(err, inferrer.ErrOverloaded) || errors.Is(err, errSilent)
 }
 
 // rejectedStatus returns the status with which an engine refused a request that
