Read the generation before the publish that may be adopted at once

Cause: TestConfigurationFaults took the generation after a publish whose answer is lost. A watch that was waiting may have brought the new one into force by then, and the test waited for one more: failed once in a run of all tests.

Ruled out: a release that got lost; the daemons had generation 5 and 6 was never published.

After: the generation is read before; three runs pass (go test -count=3 ./internal/daemon/verifier -run TestConfigurationFaults).

--- a/internal/daemon/verifier/config_faults_test.go
+++ b/internal/daemon/verifier/config_faults_test.go
@@ -86,11 +86,11 @@
 
 	// Down again before anybody can read the publish back: it was accepted.
 	w.faults(keeper.Faults{LoseAnswers: 1, DownAfterLoss: true})
-	out, err := w.tryPublish(w.daemons[0], numberedSet(32), w.newest(t))
+	before = w.newest(t)
+	out, err := w.tryPublish(w.daemons[0], numberedSet(32), before)
 	if err == nil || !strings.Contains(out, "not settled") {
 		t.Errorf("got %q (%v), want that the publish is not settled", out, err)
 	}
-	before = w.newest(t)
 	time.Sleep(time.Second)
 	w.faults(keeper.Faults{})
 	w.awaitInForce(forceLimit, before+1, w.daemons...)
