Route by predicted wait and tokens to recompute

The router counted its own requests in flight and nothing else, so equal prompts met equal caches only by chance. Policies now stand behind one interface (round robin, least in flight, prefix hash, predicted). The predicted one adds up what waits at an endpoint (own, peers', reports weighted down by age) and the prompt tokens that it would have to compute, from an index of cache blocks fed by what was sent and by cache events; where nothing is known, rendezvous hashing of what follows the shared preface brings daemons together without a word between them.

--- a/internal/fleet/viewer/viewer.go
+++ b/internal/fleet/viewer/viewer.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/platform/lister"
@@ -48,6 +49,10 @@
 	// Running and Waiting are from the endpoint's last load report.
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
+	// WaitingTokens counts prompt tokens that wait to be computed.
+	WaitingTokens int `json:"waiting_tokens"`
+	// Reported is when the report was taken; zero if there was none.
+	Reported time.Time `json:"reported,omitzero"`
 }
 
 // Serves reports whether new work for a version may go to the endpoint.
--- /dev/null
+++ b/internal/traffic/router/router_test.go
@@ -0,0 +1,174 @@
+package router
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pomelotiller/internal/config/loader"
+	"pomelotiller/internal/fleet/viewer"
+	"pomelotiller/internal/platform/inferrer"
+)
+
+var testRoute = loader.Route{Name: "chat", Versions: []loader.Share{{Version: "v", Share: 100}}}
+
+func view(n int) viewer.View {
+	var v viewer.View
+	for i := range n {
+		v.Endpoints = append(v.Endpoints, viewer.Endpoint{
+			Name: fmt.Sprint("engine-", i), Domain: []string{"portland", "worcester"}[i%2],
+			State: viewer.StateAlive, Versions: []string{"v"},
+		})
+	}
+	return v
+}
+
+func query(prompt string) Query {
+	return Query{Request: prompt, Route: testRoute, Prompt: prompt, Domain: "portland"}
+}
+
+// text returns a prompt of a number of blocks.
+func text(letter string, blocks int) string {
+	return strings.Repeat(letter, blocks*inferrer.BlockTokens*inferrer.TokenBytes)
+}
+
+func choose(t testing.TB, r *Router, v viewer.View, q Query) Choice {
+	t.Helper()
+	c, err := r.Choose(v, q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestPredictedFollowsWhatIsKnown(t *testing.T) {
+	now := time.Unix(0, 0)
+	prompt := text("a", 60)
+	hashes := inferrer.BlockHashes("v", prompt)
+	stored := inferrer.Event{Number: 1, Kind: inferrer.EventStored, Blocks: hashes}
+	evicted := inferrer.Event{Number: 2, Kind: inferrer.EventEvicted, Blocks: hashes}
+	for name, c := range map[string]struct {
+		know func(r *Router, v *viewer.View)
+		want bool
+	}{
+		"cached by an event": {func(r *Router, _ *viewer.View) { r.Learn("engine-3", []inferrer.Event{stored}) }, true},
+		"evicted again":      {func(r *Router, _ *viewer.View) { r.Learn("engine-3", []inferrer.Event{stored, evicted}) }, false},
+		"stored after a lost gap": {func(r *Router, _ *viewer.View) {
+			r.Learn("engine-3", []inferrer.Event{{Number: 9, Kind: inferrer.EventStored, Blocks: hashes}})
+		}, true},
+		"evicted but never stored": {func(r *Router, _ *viewer.View) { r.Learn("engine-3", []inferrer.Event{evicted}) }, false},
+		"engine started anew": {func(r *Router, _ *viewer.View) {
+			r.Learn("engine-3", []inferrer.Event{stored})
+			r.Forget("engine-3")
+		}, false},
+		"too small a cache": {func(r *Router, _ *viewer.View) {
+			r.SetCacheSize("engine-3", 1)
+			r.Learn("engine-3", []inferrer.Event{stored})
+		}, false},
+		"cached but overloaded": {func(r *Router, v *viewer.View) {
+			r.Learn("engine-3", []inferrer.Event{stored})
+			v.Endpoints[3].Running, v.Endpoints[3].Reported = 100, now
+		}, false},
+		"overloaded a minute ago": {func(r *Router, v *viewer.View) {
+			r.Learn("engine-3", []inferrer.Event{stored})
+			v.Endpoints[3].Running, v.Endpoints[3].Reported = 100, now.Add(-time.Minute)
+		}, true},
+		"cached but excluded": {func(r *Router, v *viewer.View) {
+			r.Learn("engine-3", []inferrer.Event{stored})
+			v.Endpoints[3].State = viewer.StateLeaving
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := New(Config{Now: func() time.Time { return now }})
+			v := view(8)
+			c.know(r, &v)
+			got := choose(t, r, v, query(prompt)).Endpoint.Name
+			if (got == "engine-3") != c.want {
+				t.Errorf("got %s, want engine-3: %t", got, c.want)
+			}
+		})
+	}
+}
+
+func TestDaemonsAgreeWithoutWord(t *testing.T) {
+	for i := range 20 {
+		prompt := text(string(rune('a'+i)), 60)
+		first := choose(t, New(Config{}), view(20), query(prompt))
+		q := query(prompt)
+		q.Domain = "worcester"
+		if got, want := choose(t, New(Config{}), view(20), q).Endpoint.Name, first.Endpoint.Name; got != want {
+			t.Errorf("prompt %d: got %s, want %s as at the other daemon", i, got, want)
+		}
+	}
+}
+
+func TestPeerWorkCountsUntilThePeerIsSilent(t *testing.T) {
+	now := time.Unix(0, 0)
+	clock := func() time.Time { return now }
+	a, b := New(Config{Now: clock}), New(Config{Now: clock})
+	v := view(2)
+	c := choose(t, a, v, query(text("a", 100)))
+	word, err := a.OwnWork()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := b.SetPeerWork("a", word); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := b.peers.sums[c.Endpoint.Name], (work{requests: 1, tokens: 1600}); got != want {
+		t.Errorf("got %+v of the peer, want %+v", got, want)
+	}
+	c.FirstToken()
+	c.Release()
+	c.Release()
+	if len(a.own) != 0 {
+		t.Errorf("got %v in flight after the release, want nothing", a.own)
+	}
+	now = now.Add(peerLife + time.Second)
+	if err := b.SetPeerWork("c", []byte{0x80}); err != nil {
+		t.Fatal(err)
+	}
+	if len(b.peers.sums) != 0 {
+		t.Errorf("got %v of a silent peer, want nothing", b.peers.sums)
+	}
+	if err := b.SetPeerWork("a", []byte("x")); err == nil {
+		t.Error("got no error for a malformed word")
+	}
+}
+
+func TestPolicyNames(t *testing.T) {
+	for name, ok := range map[string]bool{"": true, "predicted": true, "round-robin": true, "prefix-hash": true, "best": false} {
+		if _, err := NewPolicy(name); (err == nil) != ok {
+			t.Errorf("policy %q: got error %v, want none: %t", name, err, ok)
+		}
+	}
+}
+
+func TestNoEndpoint(t *testing.T) {
+	if _, err := New(Config{}).Choose(viewer.View{}, query("a")); !errors.Is(err, ErrNoEndpoint) {
+		t.Errorf("got error %v, want %v", err, ErrNoEndpoint)
+	}
+}
+
+// BenchmarkChoose measures a choice among 720 endpoints for prompts of 150
+// blocks on shared histories.
+func BenchmarkChoose(b *testing.B) {
+	for name := range policies {
+		b.Run(name, func(b *testing.B) {
+			p, err := NewPolicy(name)
+			if err != nil {
+				b.Fatal(err)
+			}
+			r := New(Config{Policy: p})
+			v := view(720)
+			preface := text("p", 16)
+			for i := 0; b.Loop(); i++ {
+				c := choose(b, r, v, query(preface+text(string(rune('a'+i%20)), 134)))
+				c.FirstToken()
+				c.Release()
+			}
+		})
+	}
+}
