--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -32,6 +32,9 @@
 	Holder *viewer.Holder
 	// Lister returns the hosts.
 	Lister lister.Lister
+	// Splits returns the shares that moves put in place of the routes' own in a
+	// configuration; nil puts none.
+	Splits func(loader.Set) map[string][]loader.Share
 	// Adopted is called with each release that came into force.
 	Adopted  func(publisher.Release)
 	Logger   log.Logger
@@ -55,7 +58,6 @@
 	reports map[string]report
 	members []viewer.Member
 	leaving map[string]bool
-	splits  map[string][]loader.Share
 }
 
 // report is the last load report of an endpoint.
@@ -123,10 +125,8 @@
 	c.send(ctx, leavingEvent(endpoint))
 }
 
-// SetSplits takes in the shares of moving routes.
-func (c *Controller) SetSplits(ctx context.Context, splits map[string][]loader.Share) {
-	c.send(ctx, splitsEvent(splits))
-}
+// Refresh publishes a new view with the splits now in force.
+func (c *Controller) Refresh(ctx context.Context) { c.send(ctx, refreshEvent{}) }
 
 func (c *Controller) send(ctx context.Context, e event) {
 	select {
@@ -141,16 +141,16 @@
 	reportsEvent []prober.Report
 	membersEvent []viewer.Member
 	leavingEvent string
-	splitsEvent  map[string][]loader.Share
+	refreshEvent struct{}
 )
 
 func (e releaseEvent) apply(c *Controller) {
 	r := publisher.Release(e)
-	if r.Generation < c.release.Generation {
+	if c.release.Newer(r) {
 		meter.Count(c.cfg.Registry, 1, "config_stale_total")
 		return
 	}
-	if r.Generation == c.release.Generation {
+	if !r.Newer(c.release) {
 		return
 	}
 	set, err := r.Set()
@@ -208,7 +208,8 @@
 	c.leaving[string(e)] = true
 }
 
-func (e splitsEvent) apply(c *Controller) { c.splits = e }
+// apply changes nothing: each event is followed by a new view.
+func (refreshEvent) apply(*Controller) {}
 
 func (c *Controller) log(fields ...any) {
 	// A logger that fails has nowhere to say so.
@@ -220,10 +221,25 @@
 		WithConfig(c.release.Generation, c.set).
 		WithEndpoints(c.endpoints()).
 		WithMembers(c.members).
-		WithSplits(c.splits)
+		WithEntries(c.entries())
+	if c.cfg.Splits != nil {
+		v = v.WithSplits(c.cfg.Splits(c.set))
+	}
 	c.cfg.Holder.Store(v)
 }
 
+// entries returns the addresses of entry hosts: hints at daemons that are not
+// known by gossip yet.
+func (c *Controller) entries() []string {
+	var out []string
+	for _, h := range c.hosts {
+		if h.Role == lister.RoleEntry && h.State == lister.StateLive {
+			out = append(out, h.Address)
+		}
+	}
+	return out
+}
+
 func (c *Controller) endpoints() []viewer.Endpoint {
 	var out []viewer.Endpoint
 	for _, h := range c.hosts {
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -24,6 +24,7 @@
 	faults   Faults
 	calls    Calls
 	saved    savedState
+	weights  weights
 }
 
 type savedState struct {
@@ -43,8 +44,12 @@
 	// LoseAnswers is the number of coming writes whose answer is cut off after
 	// the write took effect.
 	LoseAnswers int `json:"lose_answers"`
+	// DownAfterLoss takes the service down once an answer was lost.
+	DownAfterLoss bool `json:"down_after_loss"`
 	// Delay is added to each call.
 	Delay time.Duration `json:"delay"`
+	// HostLag is how late the host list shows a change of a host.
+	HostLag time.Duration `json:"host_lag"`
 }
 
 // Calls counts the calls that the key-value service took. A watch that waits
@@ -68,6 +73,16 @@
 
 // SetHost adds or replaces a host of the list.
 func (k *Keeper) SetHost(h lister.Host) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if lag := k.faults.HostLag; lag > 0 {
+		time.AfterFunc(lag, func() { k.showHost(h) })
+		return
+	}
+	k.hosts[h.Name] = h
+}
+
+func (k *Keeper) showHost(h lister.Host) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.hosts[h.Name] = h
@@ -113,6 +128,16 @@
 	k.saved = savedState{revision: k.revision, entries: maps.Clone(k.entries)}
 }
 
+// Clear loses all entries and starts from revision 0, as a service does that is
+// restarted without its data.
+func (k *Keeper) Clear() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.revision = 0
+	k.entries = make(map[string]storer.Entry)
+	k.signal()
+}
+
 // Restore goes back to the entries and the revision of the last Save, as a
 // service does that is restarted from an old backup.
 func (k *Keeper) Restore() {
