--- a/internal/traffic/recorder/carry.go
+++ b/internal/traffic/recorder/carry.go
@@ -42,6 +42,8 @@
 
 // connect chooses a service and connects to it; nothing of the order is sent.
 func (r *Runner) connect(ctx context.Context, o Order, exclude map[string]bool) link {
+	ctx, span := r.cfg.Tracer.Start(ctx, "route")
+	defer span.End()
 	v := r.cfg.View()
 	route, ok := v.Set.Route(o.Route)
 	if !ok {
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -216,6 +216,8 @@
 // choose picks an engine. When all have failed, they are tried again: an answer
 // that has not begun once, one that has begun until the patience is over.
 func (r *Relayer) choose(ctx context.Context, job Job, p *progress) (router.Choice, error) {
+	ctx, span := r.cfg.Tracer.Start(ctx, "route")
+	defer span.End()
 	if c, ok := p.take(); ok {
 		return c, nil
 	}
