--- a/cmd/pomelotiller/publish.go
+++ b/cmd/pomelotiller/publish.go
@@ -7,22 +7,31 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"pomelotiller/internal/daemon/informer"
 )
 
+// statusPeriod is the time between looks at how far a configuration has come.
+const statusPeriod = 50 * time.Millisecond
+
 // publishVerb returns the verb that publishes a configuration.
 func publishVerb() *cobra.Command {
 	var f operatorFlags
 	var generation string
+	var wait time.Duration
 	cmd := &cobra.Command{
 		Use:   "publish FILE",
 		Short: "Check a configuration and publish it in place of the one in force",
 		Long: `Check a configuration and publish it. Without --generation it replaces the one
 in force at the daemon; with it, the publish is refused if another operator has
-published since that generation, and the difference is shown.`,
+published since that generation, and the difference is shown.
+
+With --wait it returns once all daemons have the configuration in force, and
+fails, naming those that have not, if that takes longer.`,
 		Example: "  pomelotiller publish -a 10.0.0.1:8081 --generation 41 granite.yaml",
 		Args:    cobra.ExactArgs(1),
 		RunE: verb(func(ctx context.Context, cmd *cobra.Command, args []string) error {
@@ -45,14 +54,46 @@
 			if err := json.Unmarshal(a.body, &p); err != nil {
 				return err
 			}
+			if err := f.awaitInForce(ctx, p.Generation, wait); err != nil {
+				return err
+			}
 			return f.print(cmd.OutOrStdout(), p, "GENERATION", rowOf("%d\n", p.Generation))
 		}).run,
 	}
 	f.register(cmd)
 	cmd.Flags().StringVar(&generation, "generation", "", "the generation that this configuration was made from")
+	cmd.Flags().DurationVar(&wait, "wait", 0, "how long to wait until all daemons have it in force")
 	return cmd
 }
 
+// awaitInForce waits until no daemon lags behind a generation.
+func (f *operatorFlags) awaitInForce(ctx context.Context, generation uint64, wait time.Duration) error {
+	for end := time.Now().Add(wait); wait > 0; time.Sleep(statusPeriod) {
+		s, err := read[informer.Status](ctx, f, "/config/status")
+		if err != nil {
+			return fmt.Errorf("generation %d is published; %w", generation, err)
+		}
+		if s.Generation >= generation && len(s.Lagging) == 0 {
+			return nil
+		}
+		if time.Now().After(end) || ctx.Err() != nil {
+			return fmt.Errorf("generation %d is published, and not in force after %s at %s", generation, wait, laggingNames(s))
+		}
+	}
+	return nil
+}
+
+func laggingNames(s informer.Status) string {
+	if len(s.Lagging) == 0 {
+		return "any daemon"
+	}
+	names := make([]string, len(s.Lagging))
+	for i, m := range s.Lagging {
+		names[i] = m.Name
+	}
+	return strings.Join(names, ", ")
+}
+
 // withDifference adds to a conflict how the two configurations differ.
 func withDifference(err error, text []byte) error {
 	var r *refusedError
