Name an owner of orders by the start of its process

Cause: gossip now raises a member's incarnation when it refutes a suspicion, so that an owner that lives would count as one started anew, and its orders as left (TestDeadOwner, refuted a suspicion, fails with the incarnation). Members show the incarnation with which their process started.

--- a/internal/fleet/gossiper/member.go
+++ b/internal/fleet/gossiper/member.go
@@ -65,7 +65,7 @@
 func (r record) view() viewer.Member {
 	return viewer.Member{
 		Name: r.Name, Domain: r.Domain, Peers: r.Peers, Operators: r.Operators, State: r.State.state(),
-		Incarnation: r.Incarnation, Generation: r.Generation, Digest: r.Digest,
+		Incarnation: r.Incarnation, Boot: r.Boot, Generation: r.Generation, Digest: r.Digest,
 	}
 }
 
--- a/internal/fleet/viewer/viewer.go
+++ b/internal/fleet/viewer/viewer.go
@@ -31,6 +31,8 @@
 	Operators   string `json:"operators" cbor:"4,keyasint"`
 	State       State  `json:"state" cbor:"5,keyasint"`
 	Incarnation uint64 `json:"incarnation" cbor:"6,keyasint"`
+	// Boot is the incarnation with which the member's process started.
+	Boot uint64 `json:"boot" cbor:"9,keyasint"`
 	// Generation is the configuration in force at the member.
 	Generation uint64 `json:"generation" cbor:"7,keyasint"`
 	// Digest tells releases of the same generation apart.
--- a/internal/traffic/recorder/adopter.go
+++ b/internal/traffic/recorder/adopter.go
@@ -79,7 +79,7 @@
 // this daemon is chosen for.
 func (r *Runner) adoptGone(ctx context.Context) {
 	for _, m := range r.cfg.View().Members {
-		owner := OwnerName(m.Name, m.Incarnation)
+		owner := OwnerName(m.Name, m.Boot)
 		if r.dead(owner) && !r.wasAdopted(owner) && r.chosen(owner) == r.cfg.Name {
 			r.adopt(ctx, owner, false)
 		}
@@ -135,7 +135,7 @@
 	grace := strangerTime
 	for _, m := range r.cfg.View().Members {
 		switch {
-		case OwnerName(m.Name, m.Incarnation) != owner:
+		case OwnerName(m.Name, m.Boot) != owner:
 			if ran, _, _ := strings.Cut(owner, "/"); ran == m.Name {
 				grace = 0 // The daemon was started anew.
 			}
--- a/internal/traffic/recorder/order.go
+++ b/internal/traffic/recorder/order.go
@@ -144,9 +144,9 @@
 	return hex.EncodeToString(sum[:16])
 }
 
-// OwnerName names one run of a daemon as an owner of orders.
-func OwnerName(daemon string, incarnation uint64) string {
-	return daemon + "/" + strconv.FormatUint(incarnation, 10)
+// OwnerName names one process of a daemon as an owner of orders.
+func OwnerName(daemon string, boot uint64) string {
+	return daemon + "/" + strconv.FormatUint(boot, 10)
 }
 
 // digest identifies the content of a request.
