Show that ended orders expire with their lease, and count open ones

TestRetention: a lease that is gone takes its orders with it, and the next end of an order gets another lease. A gauge shows the open orders of a daemon.

--- a/internal/traffic/listener/service.go
+++ b/internal/traffic/listener/service.go
@@ -121,7 +121,8 @@
 		writeAnswer(w, *o.Answer)
 	case o.State == recorder.StateDone:
 		refuser.Write(w, &refuser.Refusal{
-			Status: http.StatusBadGateway, Title: "answer-too-large", Run: refuser.Ran, Detail: o.Reason,
+			Status: http.StatusBadGateway, Title: "answer-too-large", Run: refuser.Ran,
+			Detail: "the service ran the order; its answer is too large to be kept",
 		})
 	case !o.Ended():
 		replyJSON(w, http.StatusAccepted, newOrderView(o))
--- a/internal/traffic/recorder/adopter.go
+++ b/internal/traffic/recorder/adopter.go
@@ -13,11 +13,11 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/platform/storer"
-	"pomelotiller/internal/traffic/refuser"
 )
 
 const (
@@ -63,11 +63,12 @@
 	}
 }
 
-// forget drops the keys that were taken long ago.
+// forget drops the keys that were taken long ago, and counts the open orders.
 func (r *Runner) forget() {
 	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	metrics.GetOrRegisterGauge("orders_open", r.cfg.Registry).Update(int64(len(r.jobs)))
 	for id, t := range r.recent {
 		if now.Sub(t) > recentTime {
 			delete(r.recent, id)
@@ -286,21 +287,3 @@
 }
 
 var errOwnerLost = errors.New("the daemon that sent the order was lost")
-
-// storeRefusal refuses an order that could not be recorded. It was not sent by
-// this daemon, and none of its records allows another to send it; but a key
-// that this daemon has seen before may have run then.
-func (r *Runner) storeRefusal(o Order, err error) error {
-	refusal := &refuser.Refusal{
-		Status: 503, Title: "store-unavailable", Run: refuser.NotRun, Err: err,
-		RetryAfter: r.cfg.Recorder.cfg.Outage.RetryAfter(r.now()),
-		Detail:     "the order could not be recorded, and this request was not run",
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if _, seen := r.recent[o.ID]; seen {
-		refusal.Run = refuser.Unknown
-		refusal.Detail = "the order cannot be read at present, and an earlier request with its key may have run; read /v1/orders/" + o.ID
-	}
-	return refusal
-}
--- a/internal/traffic/recorder/call.go
+++ b/internal/traffic/recorder/call.go
@@ -51,10 +51,3 @@
 	}
 	return Answer{}, refusal
 }
-
-func answerTooLarge() error {
-	return &refuser.Refusal{
-		Status: http.StatusBadGateway, Title: "answer-too-large", Run: refuser.Ran,
-		Detail: "the service answered, but its answer is too large to be passed on",
-	}
-}
--- a/internal/traffic/recorder/handover.go
+++ b/internal/traffic/recorder/handover.go
@@ -5,11 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
 
 	"pomelotiller/internal/fleet/messenger"
-	"pomelotiller/internal/traffic/refuser"
 )
 
 // Kinds of calls between daemons.
@@ -130,27 +128,3 @@
 	}()
 	return nil, nil
 }
-
-func keyReused(key string) error {
-	return &refuser.Refusal{
-		Status: http.StatusUnprocessableEntity, Title: "key-reused", Run: refuser.NotRun,
-		Detail: fmt.Sprintf("Idempotency-Key %q was used for another request; want a key of its own for each order", key),
-	}
-}
-
-// unavailable refuses an order that no service could take.
-func (r *Runner) unavailable(o Order, cause error) error {
-	return &refuser.Refusal{
-		Status: http.StatusServiceUnavailable, Title: "unavailable", Run: refuser.NotRun, Err: cause,
-		RetryAfter: r.outage(o.Route).RetryAfter(r.now()), Detail: "no service could take the order",
-	}
-}
-
-// unsettled refuses an order whose record may stand all the same.
-func (r *Runner) unsettled(o Order, cause error) error {
-	return &refuser.Refusal{
-		Status: http.StatusServiceUnavailable, Title: "store-unavailable", Run: refuser.Unknown, Err: cause,
-		RetryAfter: r.cfg.Recorder.cfg.Outage.RetryAfter(r.now()),
-		Detail:     "it is not known whether the order was accepted; read /v1/orders/" + o.ID,
-	}
-}
--- a/internal/traffic/recorder/recorder_test.go
+++ b/internal/traffic/recorder/recorder_test.go
@@ -5,12 +5,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"pomelotiller/internal/fleet/viewer"
+	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/standin/keeper"
 	"pomelotiller/internal/traffic/refuser"
 )
 
@@ -314,3 +317,36 @@
 		}
 	})
 }
+
+// Ended orders go with the lease that they share; a lease that is gone is
+// replaced.
+func TestRetention(t *testing.T) {
+	srv := httptest.NewServer(keeper.New().Handler())
+	defer srv.Close()
+	store := storer.NewClient(storer.ClientConfig{Address: srv.Listener.Addr().String()})
+	rec := New(Config{Store: store, Owner: "entry-1/1"})
+	refuse := func(key string) Step {
+		o := rec.newOrder(Submission{Route: "ledger", Key: key}, time.Minute)
+		s, err := rec.step(o, triggerRefuse, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	first, second := refuse("first"), refuse("second")
+	if _, err := rec.Apply(t.Context(), first); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Revoke(t.Context(), rec.lease); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := rec.Get(t.Context(), first.Next.ID); !errors.Is(err, storer.ErrNotFound) {
+		t.Errorf("got error %v for an order whose lease is gone, want %v", err, storer.ErrNotFound)
+	}
+	if _, err := rec.Apply(t.Context(), second); !errors.Is(err, storer.ErrLeaseLapsed) {
+		t.Errorf("got error %v, want %v", err, storer.ErrLeaseLapsed)
+	}
+	if o, err := rec.Apply(t.Context(), second); err != nil || o.State != StateRefused {
+		t.Errorf("got order %s (%v) on another try, want refused", o.State, err)
+	}
+}
