--- a/internal/daemon/verifier/duty_test.go
+++ b/internal/daemon/verifier/duty_test.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -85,7 +87,7 @@
 // force.
 func pausable(t *testing.T, fencing bool) (*cluster, []*generator.Generator) {
 	c := newCluster(t)
-	engines := c.generators(generator.Config{Versions: []string{"chat-v1"}, Fencing: fencing})
+	engines := c.generators(generator.Config{Versions: []string{"chat-v1"}, Fencing: fencing}, nil)
 	for _, domain := range []string{"portland", "worcester", "hartford"} {
 		c.daemon("entry-"+domain, domain, daemonOptions{})
 	}
@@ -96,11 +98,11 @@
 }
 
 // BenchmarkStoreCalls reports the calls a second that nine daemons make at the
-// store, idle and during a move.
+// store, and the gossip that each sends, idle and during a move.
 func BenchmarkStoreCalls(b *testing.B) {
 	for range b.N {
 		c := newCluster(b)
-		c.generators(generator.Config{Versions: []string{"chat-v1"}})
+		c.generators(generator.Config{Versions: []string{"chat-v1"}}, nil)
 		for i := range 9 {
 			c.daemon(fmt.Sprintf("entry-%d", i), []string{"portland", "worcester", "hartford"}[i%3], daemonOptions{})
 		}
@@ -112,17 +114,36 @@
 		m := &moving{cluster: c}
 		by := time.Now().Add(17 * time.Second)
 		c.publish(c.daemons[0], moveSet(by))
-		m.traffic()
+		m.traffic(m.ask)
 		c.reportCalls(b, "moving", time.Until(by))
 	}
 }
 
 func (c *cluster) reportCalls(b *testing.B, name string, d time.Duration) {
 	calls := func() keeper.Calls { return getJSON[keeper.Calls](b, c.address, "/calls") }
-	before := calls()
+	before, bytesBefore := calls(), c.gossiped()
 	time.Sleep(d)
-	after := calls()
+	after, bytesAfter := calls(), c.gossiped()
 	b.ReportMetric(float64(after.Writes-before.Writes)/d.Seconds(), name+"-writes/s")
 	b.ReportMetric(float64(after.Reads-before.Reads)/d.Seconds(), name+"-reads/s")
 	b.ReportMetric(float64(after.Waiting), name+"-watches")
+	b.ReportMetric((bytesAfter-bytesBefore)/d.Seconds()/float64(len(c.daemons)), name+"-gossip-B/s")
+}
+
+// gossiped returns the bytes of gossip that all daemons have sent.
+func (c *cluster) gossiped() float64 {
+	c.t.Helper()
+	var sum float64
+	for _, d := range c.daemons {
+		for line := range strings.Lines(string(call(c.t, http.MethodGet, "http://"+d.operators+"/metrics", nil, nil))) {
+			if rest, ok := strings.CutPrefix(line, "pomelotiller_gossip_sent_bytes_total "); ok {
+				n, err := strconv.ParseFloat(strings.TrimSpace(rest), 64)
+				if err != nil {
+					c.t.Fatal(err)
+				}
+				sum += n
+			}
+		}
+	}
+	return sum
 }
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -74,7 +74,7 @@
 	// leaving.
 	Leaving func(e viewer.Endpoint)
 	// Retry, if set, says whether another engine may be tried for an answer
-	// that has not begun.
+	// that has not begun, after a failure that may stem from overload.
 	Retry func() bool
 	// MaxAttempts bounds the attempts of a request that bring no new token.
 	MaxAttempts int
@@ -147,7 +147,7 @@
 	default:
 		p.exclude[c.Endpoint.Name] = true
 	}
-	p.version = nextVersion(r.cfg.View().Split(job.Route), c.Version, p.begun(), err)
+	p.version = nextVersion(r.cfg.View(), job.Route, c.Version, p.begun(), err)
 	p.fruitless++
 	meter.Count(r.cfg.Registry, 1, "attempt_failures_total", "route", job.Route.Name, "version", c.Version, "cause", causeOf(err))
 	if errors.Is(err, inferrer.ErrLeaving) && r.cfg.Leaving != nil {
@@ -189,7 +189,14 @@
 	case errors.Is(err, errMoved):
 		return false
 	}
-	return r.cfg.Retry != nil && !r.cfg.Retry()
+	return r.cfg.Retry != nil && addsLoad(err) && !r.cfg.Retry()
+}
+
+// addsLoad reports whether trying again after an error can add to an overload.
+func addsLoad(err error) bool {
+	var e *inferrer.StatusError
+	failed := errors.As(err, &e) && e.Status >= http.StatusInternalServerError && !errors.Is(err, inferrer.ErrLeaving)
+	return failed || errors.Is(err, inferrer.ErrOverloaded) || errors.Is(err, errSilent)
 }
 
 // rejectedStatus returns the status with which an engine refused a request that
@@ -217,6 +224,11 @@
 		if err == nil || !errors.Is(err, router.ErrNoEndpoint) {
 			return c, err
 		}
+		// This daemon may not know yet that a new version is loaded.
+		if next := nextVersion(r.cfg.View(), job.Route, p.version, p.begun(), err); next != p.version {
+			p.version = next
+			continue
+		}
 		p.round++
 		if p.begun() && p.waited() >= r.cfg.Patience || !p.begun() && (len(p.exclude) == 0 || p.round >= maxRounds) {
 			return c, err
