Eject slow and failing engines, and let them return after a probe

TestSlowEngine: of three engines one with fifteen times the token time went on getting its part of the work; least in flight alone only lessens it. The others' judgement is not taken over: what is slow from one failure domain need not be so from another.

--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -88,7 +88,9 @@
 type Relayer struct {
 	cfg     Config
 	outages outages
-	moves   chan struct{}
+	// outliers are the engines that get no work for a while.
+	outliers outliers
+	moves    chan struct{}
 
 	mu      sync.Mutex
 	flights map[string]map[*flight]struct{}
@@ -124,6 +126,7 @@
 		err = r.attempt(ctx, job, p, choice, n, sink)
 		choice.Release()
 		r.report(ctx, job, choice, n, p.seen, err)
+		r.judge(ctx, choice, p.seen, err)
 		if err == nil {
 			r.outages.end(choice.Version, time.Since(start))
 			return nil
@@ -240,11 +243,48 @@
 	}
 }
 
+// route chooses an engine, an ejected one only if there is no other.
 func (r *Relayer) route(job Job, version string, exclude map[string]bool) (router.Choice, error) {
-	return r.cfg.Router.Choose(r.cfg.View(), router.Query{
+	view := r.cfg.View()
+	q := router.Query{
 		Request: job.Request, Route: job.Route, Version: version,
-		Prompt: job.Prompt.Text(), Domain: r.cfg.Domain, Exclude: exclude,
-	})
+		Prompt: job.Prompt.Text(), Domain: r.cfg.Domain,
+	}
+	if q.Version == "" {
+		v, err := router.PickVersion(view.Split(job.Route), job.Request)
+		if err != nil {
+			return router.Choice{}, fmt.Errorf("route %q: %w", job.Route.Name, err)
+		}
+		q.Version = v
+	}
+	q.Exclude = r.outliers.excluded(time.Now(), q.Version, exclude)
+	c, err := r.cfg.Router.Choose(view, q)
+	if errors.Is(err, router.ErrNoEndpoint) && len(q.Exclude) > len(exclude) {
+		q.Exclude = exclude
+		c, err = r.cfg.Router.Choose(view, q)
+	}
+	if err == nil {
+		r.outliers.begin(time.Now(), engineKey{c.Version, c.Endpoint.Name})
+	}
+	return c, err
+}
+
+// judge notes the outcome of an attempt for its engine. One that the caller
+// ended says nothing.
+func (r *Relayer) judge(ctx context.Context, c router.Choice, o observation, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	var gap time.Duration
+	if o.tokens > 1 {
+		gap = o.last.Sub(o.first) / time.Duration(o.tokens-1)
+	}
+	ejected, returned := r.outliers.end(time.Now(), engineKey{c.Version, c.Endpoint.Name}, gap, err)
+	for name, happened := range map[string]bool{"ejected": ejected, "returned": returned} {
+		if happened {
+			meter.Count(r.cfg.Registry, 1, "endpoint_ejections_total", "endpoint", c.Endpoint.Name, "change", name)
+		}
+	}
 }
 
 // routeTo chooses an engine that is known by name.
