Keep enough idle connections to an engine for a burst of streams

Cause: of 500 streams that end together all but 64 connections were closed, and the next 500 had to dial.

--- a/internal/platform/inferrer/client.go
+++ b/internal/platform/inferrer/client.go
@@ -24,7 +24,7 @@
 	maxLineBytes   = 4 << 20
 	endMark        = "[DONE]"
 	dialTimeout    = time.Second
-	idleConnsLimit = 64
+	idleConnsLimit = 512
 )
 
 var (
