Report outcomes to collectors in place of gossip to all

Cause: seen with nine daemons at 2000 requests a second: outcomes of each daemon to each other used up the gossip's 4 KB/s of changes, so that records of moves reached some daemons seconds late (one still showed ramping while others were done) and a fault at 100% took 0.72 s to be taken back everywhere.

Each daemon now sends its outcomes in a datagram to the holder of the move and to two daemons of each failure domain, chosen by rendezvous hashing, so that one that is cut off still has its own judges; latch and records stay gossip. Each daemon goes on to judge its own outcomes. What a collector takes in does not grow with the fleet: the period does. Ruled out: halving the period of the gossip, 12.7 to 11.6 KB/s; pulling by the holder, one judge for all.

--- a/internal/control/dutykeeper/dutykeeper.go
+++ b/internal/control/dutykeeper/dutykeeper.go
@@ -9,10 +9,12 @@
 package dutykeeper
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -310,15 +312,23 @@
 // Owner returns the living member to which a duty falls by rendezvous hashing,
 // or nothing.
 func Owner(duty string, members []viewer.Member) string {
-	var best string
-	var top uint64
+	ranked := Rank(duty, members)
+	if len(ranked) == 0 {
+		return ""
+	}
+	return ranked[0].Name
+}
+
+// Rank returns the living members in the order in which a duty falls to them.
+func Rank(duty string, members []viewer.Member) []viewer.Member {
+	hashes := make(map[string]uint64, len(members))
+	var living []viewer.Member
 	for _, m := range members {
-		if m.State != viewer.StateAlive {
-			continue
-		}
-		if h := xxhash.Sum64String(duty + "\x00" + m.Name); best == "" || h > top {
-			best, top = m.Name, h
+		if m.State == viewer.StateAlive {
+			hashes[m.Name] = xxhash.Sum64String(duty + "\x00" + m.Name)
+			living = append(living, m)
 		}
 	}
-	return best
+	slices.SortFunc(living, func(a, b viewer.Member) int { return cmp.Compare(hashes[b.Name], hashes[a.Name]) })
+	return living
 }
--- a/internal/control/mover/fleet_test.go
+++ b/internal/control/mover/fleet_test.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	gossipDelay = 300 * time.Millisecond
-	target      = 100 * time.Millisecond
+	gossipDelay  = 300 * time.Millisecond
+	datagramLoss = 0.05
+	target       = 100 * time.Millisecond
 )
 
 var errStatus = &inferrer.StatusError{Status: 500}
@@ -56,6 +57,7 @@
 	keeper       *dutykeeper.Keeper
 	items        map[string]gossiper.Item
 	subs         map[string]func(gossiper.Item)
+	datagram     func([]byte)
 	fleet        *fleet
 	paused, cut  bool
 	dead         bool
@@ -68,6 +70,8 @@
 	at       time.Time
 	from, to *node
 	item     gossiper.Item
+	// body is that of a datagram, in place of an item.
+	body []byte
 }
 
 // fleet is a number of daemons on one store and one clock.
@@ -122,7 +126,8 @@
 	}
 	n.follower = NewFollower(FollowerConfig{
 		Self: name, Domain: domain, Spreader: n, Store: f.store, Now: f.clock,
-		Set: func() loader.Set { return n.set }, Members: func() int { return len(f.nodes) },
+		Set: func() loader.Set { return n.set }, Members: func() []viewer.Member { return n.members() },
+		Sender: n,
 	})
 	n.keeper = dutykeeper.New(dutykeeper.Config{
 		Self: name, Store: f.store, Now: f.clock, Members: func() []viewer.Member { return n.members() },
@@ -151,7 +156,7 @@
 		if o.dead || o.paused || o.cut != n.cut {
 			s = viewer.StateGone
 		}
-		out = append(out, viewer.Member{Name: o.name, State: s})
+		out = append(out, viewer.Member{Name: o.name, Domain: o.domain, Peers: o.name, State: s})
 	}
 	return out
 }
@@ -175,7 +180,7 @@
 	}
 	for _, o := range n.fleet.nodes {
 		if o != n {
-			n.fleet.inbound = append(n.fleet.inbound, delivery{n.fleet.now.Add(gossipDelay), n, o, i})
+			n.fleet.inbound = append(n.fleet.inbound, delivery{at: n.fleet.now.Add(gossipDelay), from: n, to: o, item: i})
 		}
 	}
 }
@@ -190,6 +195,18 @@
 	return true
 }
 
+// Send implements Sender. A datagram arrives at the next step, or never.
+func (n *node) Send(addr, _ string, body []byte) {
+	for _, o := range n.fleet.nodes {
+		if o.name == addr && o.cut == n.cut && !o.paused && n.fleet.rand.Float64() >= datagramLoss {
+			n.fleet.inbound = append(n.fleet.inbound, delivery{at: n.fleet.now, from: n, to: o, body: body})
+		}
+	}
+}
+
+// HandleDatagram implements Sender.
+func (n *node) HandleDatagram(_ string, f func([]byte)) { n.datagram = f }
+
 // Subscribe implements Spreader.
 func (n *node) Subscribe(topic string, f func(gossiper.Item)) { n.subs[topic] = f }
 
@@ -204,6 +221,8 @@
 		switch {
 		case f.now.Before(d.at) || d.from.cut != d.to.cut || d.to.paused || d.from.paused:
 			later = append(later, d)
+		case !d.to.dead && d.body != nil:
+			d.to.datagram(d.body)
 		case !d.to.dead:
 			d.to.merge(d.item)
 		}
--- a/internal/control/mover/follower.go
+++ b/internal/control/mover/follower.go
@@ -14,6 +14,7 @@
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/fleet/gossiper"
+	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/platform/storer"
 	"pomelotiller/internal/traffic/relayer"
@@ -21,9 +22,8 @@
 
 // Topics of gossip.
 const (
-	topicRecord   = "moves"
-	topicLatch    = "latch"
-	topicOutcomes = "outcomes"
+	topicRecord = "moves"
+	topicLatch  = "latch"
 )
 
 const (
@@ -55,12 +55,12 @@
 	// Self and Domain are the daemon's name and failure domain.
 	Self, Domain string
 	Spreader     Spreader
+	Sender       Sender
 	Store        storer.Store
 	// Set returns the configuration in force.
 	Set func() loader.Set
-	// Members returns the number of daemons; outcomes spread less often when
-	// there are many.
-	Members func() int
+	// Members returns the daemons as far as this one knows.
+	Members func() []viewer.Member
 	// Changed is called, without a lock, when splits may have changed.
 	Changed  func()
 	Now      func() time.Time
@@ -83,13 +83,11 @@
 	record Record
 	latch  Latch
 	own    tally
-	peers  map[string]tally
-	// published is when own was last spread, spread what it was then.
-	published time.Time
-	spread    tally
-	version   uint64
-	late      bool
-	broken    map[string]time.Time
+	// peers holds the last report of each other daemon that sent one.
+	peers    map[string]report
+	reported reporting
+	late     bool
+	broken   map[string]time.Time
 }
 
 func (f *follow) latched() bool { return f.latch.Run > 0 && f.latch.Run >= f.record.Run }
@@ -110,7 +108,7 @@
 	f := &Follower{cfg: cfg, moves: make(map[string]*follow)}
 	cfg.Spreader.Subscribe(topicRecord, f.takeRecord)
 	cfg.Spreader.Subscribe(topicLatch, f.takeLatch)
-	cfg.Spreader.Subscribe(topicOutcomes, f.takeOutcomes)
+	cfg.Sender.HandleDatagram(datagramKind, f.takeReport)
 	return f
 }
 
@@ -158,7 +156,7 @@
 func (f *Follower) follow(name string) *follow {
 	m := f.moves[name]
 	if m == nil {
-		m = &follow{peers: make(map[string]tally), broken: make(map[string]time.Time)}
+		m = &follow{peers: make(map[string]report), broken: make(map[string]time.Time)}
 		f.moves[name] = m
 	}
 	return m
@@ -323,9 +321,9 @@
 // Tick judges what is known, spreads the daemon's own outcomes and notices
 // that the hour has passed.
 func (f *Follower) Tick() {
-	now := f.cfg.Now()
+	now, members := f.cfg.Now(), f.cfg.Members()
 	f.mu.Lock()
-	var items []gossiper.Item
+	var reports []outbound
 	latches := make(map[string]Latch)
 	late := false
 	for name, m := range f.moves {
@@ -339,8 +337,8 @@
 		if reason := f.judge(m); reason != "" {
 			latches[name] = Latch{Run: m.record.Run, Reason: reason}
 		}
-		if i, ok := f.outcomesItem(name, m, now); ok {
-			items = append(items, i)
+		if r, ok := f.report(m, members, now); ok {
+			reports = append(reports, r)
 		}
 	}
 	f.mu.Unlock()
@@ -350,24 +348,11 @@
 	for name, l := range latches {
 		f.Latch(name, l)
 	}
-	for _, i := range items {
-		f.cfg.Spreader.Publish(i)
-	}
-}
-
-func (f *Follower) takeOutcomes(i gossiper.Item) {
-	var t tally
-	if err := cbor.Unmarshal(i.Value, &t); err != nil {
-		meter.Count(f.cfg.Registry, 1, "move_items_malformed_total")
-		return
-	}
-	name, daemon := splitKey(i.Key)
-	if daemon == f.cfg.Self {
-		return
+	for _, r := range reports {
+		for _, address := range r.addresses {
+			f.cfg.Sender.Send(address, datagramKind, r.body)
+		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.follow(name).peers[daemon] = t
 }
 
 // Wanted returns the versions that engines must have for the routes and moves
--- a/internal/control/mover/observer.go
+++ b/internal/control/mover/observer.go
@@ -3,13 +3,9 @@
 import (
 	"errors"
 	"fmt"
-	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"pomelotiller/internal/config/loader"
-	"pomelotiller/internal/fleet/gossiper"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/platform/inferrer"
 	"pomelotiller/internal/traffic/relayer"
@@ -35,12 +31,6 @@
 	// as the same event, such as the death of its host.
 	breakTime = time.Second
 
-	// publishPeriod is the least time between two spreads of a move's outcomes,
-	// newsPeriod that after a fault of the new version.
-	publishPeriod    = 500 * time.Millisecond
-	publishPerMember = 50 * time.Millisecond
-	newsPeriod       = 250 * time.Millisecond
-
 	defaultErrorLimit = 0.01
 	defaultSlowLimit  = 0.05
 	defaultShortLimit = 0.2
@@ -193,7 +183,8 @@
 	own.Domain = f.cfg.Domain
 	tallies := []tally{own}
 	domains := map[string]bool{own.Domain: true}
-	for _, t := range m.peers {
+	for _, p := range m.peers {
+		t := p.Tally
 		if t.Run == own.Run {
 			tallies = append(tallies, t)
 			domains[t.Domain] = true
@@ -258,7 +249,8 @@
 		return ""
 	}
 	total, stage := m.own.Total, m.own.Stage
-	for _, t := range m.peers {
+	for _, p := range m.peers {
+		t := p.Tally
 		if t.Run == m.record.Run {
 			total = total.Plus(t.Total)
 		}
@@ -283,52 +275,11 @@
 		return Pair{}
 	}
 	sum := m.own.Total
-	for _, t := range m.peers {
+	for _, p := range m.peers {
+		t := p.Tally
 		if t.Run == m.record.Run {
 			sum = sum.Plus(t.Total)
 		}
 	}
 	return sum
 }
-
-// outcomesItem returns the item that spreads the daemon's own outcomes, if it
-// is time: at once after a fault of the new version, else at a period that
-// grows with the fleet and the number of moves, so that the traffic does not.
-func (f *Follower) outcomesItem(name string, m *follow, now time.Time) (gossiper.Item, bool) {
-	if m.own.Total == m.spread.Total && m.own.Run == m.spread.Run {
-		return gossiper.Item{}, false
-	}
-	period := time.Duration(f.moving()) * max(publishPeriod, time.Duration(f.cfg.Members())*publishPerMember)
-	news := faults(m.own.Total.New) != faults(m.spread.Total.New) && now.Sub(m.published) >= newsPeriod
-	if now.Sub(m.published) < period && !news {
-		return gossiper.Item{}, false
-	}
-	own := m.own
-	own.Domain = f.cfg.Domain
-	b, err := cbor.Marshal(own)
-	if err != nil {
-		return gossiper.Item{}, false
-	}
-	// A daemon that starts anew counts from zero, but on a later clock.
-	m.version = max(m.version+1, uint64(now.UnixNano()))
-	m.published, m.spread = now, m.own
-	return gossiper.Item{Topic: topicOutcomes, Key: name + "/" + f.cfg.Self, Version: m.version, Value: b}, true
-}
-
-// moving counts the moves that are on their way. The caller holds the lock.
-func (f *Follower) moving() int {
-	n := 0
-	for _, m := range f.moves {
-		if m.record.Moving() {
-			n++
-		}
-	}
-	return n
-}
-
-func faults(c Counts) uint64 { return c.Errors + c.First + c.Token + c.Short }
-
-func splitKey(key string) (move, daemon string) {
-	move, daemon, _ = strings.Cut(key, "/")
-	return move, daemon
-}
--- a/internal/daemon/assembler/moves.go
+++ b/internal/daemon/assembler/moves.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"time"
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/control/dutykeeper"
 	"pomelotiller/internal/control/mover"
 	"pomelotiller/internal/control/orderer"
+	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/platform/fetcher"
 	"pomelotiller/internal/platform/inferrer"
 	"pomelotiller/internal/platform/storer"
@@ -29,7 +31,7 @@
 	d.moves.follower = mover.NewFollower(mover.FollowerConfig{
 		Self: s.Name, Domain: s.Domain, Spreader: d.gossiper, Store: store, Logger: d.logger, Registry: d.registry,
 		Set:     func() loader.Set { return d.holder.Load().Set },
-		Members: func() int { return len(d.holder.Load().Members) },
+		Members: d.gossiper.Members, Sender: datagrams{d},
 		Changed: func() { d.control.Refresh(d.ctx) },
 	})
 	d.moves.duties = dutykeeper.New(dutykeeper.Config{
@@ -52,6 +54,29 @@
 	})
 }
 
+// datagramTimeout bounds the connection that a datagram may need.
+const datagramTimeout = time.Second
+
+// datagrams sends datagrams without waiting for them.
+type datagrams struct{ daemon *Daemon }
+
+// HandleDatagram implements mover.Sender.
+func (s datagrams) HandleDatagram(kind string, f func([]byte)) {
+	s.daemon.messenger.HandleDatagram(kind, f)
+}
+
+// Send implements mover.Sender.
+func (s datagrams) Send(addr, kind string, body []byte) {
+	go func() {
+		ctx, cancel := context.WithTimeout(s.daemon.ctx, datagramTimeout)
+		defer cancel()
+		meter.Count(s.daemon.registry, int64(len(body)), "move_report_bytes_total")
+		if err := s.daemon.messenger.Send(ctx, addr, kind, body); err != nil {
+			meter.Count(s.daemon.registry, 1, "move_report_failures_total")
+		}
+	}()
+}
+
 // duties returns the names of all duties that the configuration gives rise to.
 func (d *Daemon) duties() []string {
 	set := d.holder.Load().Set
--- a/internal/daemon/verifier/duty_test.go
+++ b/internal/daemon/verifier/duty_test.go
@@ -97,25 +97,50 @@
 	return c, engines
 }
 
+// nine starts nine daemons and three engines with a configuration in force.
+func nine(b *testing.B) *moving {
+	m := &moving{cluster: newCluster(b)}
+	m.engines = m.generators(generator.Config{Versions: []string{"chat-v1"}}, &m.bad)
+	for i := range 9 {
+		m.daemon(fmt.Sprintf("entry-%d", i), []string{"portland", "worcester", "hartford"}[i%3], daemonOptions{})
+	}
+	m.publish(m.daemons[0], testSet())
+	m.awaitGeneration(1)
+	m.awaitEndpoints(3)
+	return m
+}
+
+// BenchmarkTakeBack reports how long nine daemons take to take back a version
+// that begins to fail while it has a tenth of the traffic.
+func BenchmarkTakeBack(b *testing.B) {
+	var took time.Duration
+	for range b.N {
+		m := nine(b)
+		m.publish(m.daemons[0], moveSet(time.Now().Add(40*time.Second)))
+		m.traffic(m.ask)
+		eventually(b, startTimeout, "a tenth of the traffic moved", func() bool { return m.move(m.daemons[0]).Share == 10 })
+		m.bad.Store(true)
+		began := time.Now()
+		for _, d := range m.daemons {
+			eventually(b, startTimeout, "taken back at "+d.name, func() bool { return m.move(d).Share == 0 })
+		}
+		took += time.Since(began)
+		b.Log(m.move(m.daemons[0]).Reason)
+	}
+	b.ReportMetric(float64(took.Milliseconds())/float64(b.N), "ms-to-take-back")
+}
+
 // BenchmarkStoreCalls reports the calls a second that nine daemons make at the
 // store, and the gossip that each sends, idle and during a move.
 func BenchmarkStoreCalls(b *testing.B) {
 	for range b.N {
-		c := newCluster(b)
-		c.generators(generator.Config{Versions: []string{"chat-v1"}}, nil)
-		for i := range 9 {
-			c.daemon(fmt.Sprintf("entry-%d", i), []string{"portland", "worcester", "hartford"}[i%3], daemonOptions{})
-		}
-		c.publish(c.daemons[0], testSet())
-		c.awaitGeneration(1)
-		c.awaitEndpoints(3)
+		m := nine(b)
 		time.Sleep(5 * time.Second)
-		c.reportCalls(b, "idle", 10*time.Second)
-		m := &moving{cluster: c}
+		m.reportCalls(b, "idle", 10*time.Second)
 		by := time.Now().Add(17 * time.Second)
-		c.publish(c.daemons[0], moveSet(by))
+		m.publish(m.daemons[0], moveSet(by))
 		m.traffic(m.ask)
-		c.reportCalls(b, "moving", time.Until(by))
+		m.reportCalls(b, "moving", time.Until(by))
 	}
 }
 
@@ -127,17 +152,19 @@
 	b.ReportMetric(float64(after.Writes-before.Writes)/d.Seconds(), name+"-writes/s")
 	b.ReportMetric(float64(after.Reads-before.Reads)/d.Seconds(), name+"-reads/s")
 	b.ReportMetric(float64(after.Waiting), name+"-watches")
-	b.ReportMetric((bytesAfter-bytesBefore)/d.Seconds()/float64(len(c.daemons)), name+"-gossip-B/s")
+	b.ReportMetric((bytesAfter-bytesBefore)/d.Seconds()/float64(len(c.daemons)), name+"-B/s-a-daemon")
 }
 
-// gossiped returns the bytes of gossip that all daemons have sent.
+// gossiped returns the bytes of gossip and of reports of outcomes that all
+// daemons have sent.
 func (c *cluster) gossiped() float64 {
 	c.t.Helper()
 	var sum float64
 	for _, d := range c.daemons {
 		for line := range strings.Lines(string(call(c.t, http.MethodGet, "http://"+d.operators+"/metrics", nil, nil))) {
-			if rest, ok := strings.CutPrefix(line, "pomelotiller_gossip_sent_bytes_total "); ok {
-				n, err := strconv.ParseFloat(strings.TrimSpace(rest), 64)
+			name, value, _ := strings.Cut(line, " ")
+			if name == "pomelotiller_gossip_sent_bytes_total" || name == "pomelotiller_move_report_bytes_total" {
+				n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
 				if err != nil {
 					c.t.Fatal(err)
 				}
