Keep the epoch growing past a store that was set back

Cause: with the store restored to older data the next holder got an epoch that was given out before (TestHolderFails/store_set_back_to_older_data, seen failing: epoch 1 after 1), so an engine that checks fencing numbers obeyed the old holder too.

The epoch is now at least the time in seconds. The wait of a new holder in pools without fencing no longer depends on it being the first one ever, which a restored store cannot tell.

--- a/internal/control/dutykeeper/dutykeeper.go
+++ b/internal/control/dutykeeper/dutykeeper.go
@@ -51,7 +51,7 @@
 // Record is what the store holds of a duty.
 type Record struct {
 	Holder string `json:"holder"`
-	// Epoch grows by one with each new holder, and is the fencing number.
+	// Epoch grows with each new holder, and is the fencing number.
 	Epoch uint64 `json:"epoch"`
 }
 
@@ -271,7 +271,8 @@
 	if err != nil {
 		return nil, k.abandon(ctx, lease, err)
 	}
-	r = Record{Holder: k.cfg.Self, Epoch: r.Epoch + 1}
+	// A store that was set back has an older epoch; the clock leads past it.
+	r = Record{Holder: k.cfg.Self, Epoch: max(r.Epoch+1, uint64(max(0, k.cfg.Now().Unix())))}
 	b, err := json.Marshal(r)
 	if err != nil {
 		return nil, k.abandon(ctx, lease, err)
--- a/internal/control/dutykeeper/dutykeeper_test.go
+++ b/internal/control/dutykeeper/dutykeeper_test.go
@@ -129,6 +129,10 @@
 			f.store.LoseAnswers(2)
 			f.run(12*time.Second, holder)
 		}},
+		{"store set back to older data", func(f *fleet, _ int) {
+			f.store.Reset()
+			f.run(6 * time.Second)
+		}},
 		{"leaves in order", func(f *fleet, holder int) {
 			f.members[holder].State = viewer.StateLeaving
 			f.run(6 * time.Second)
--- a/internal/control/orderer/orderer.go
+++ b/internal/control/orderer/orderer.go
@@ -162,7 +162,7 @@
 // to engines that would obey it. The lease of the old holder has lapsed before
 // a new one holds the duty.
 func (o *Orderer) mustWait(pool loader.Pool, g dutykeeper.Grant) bool {
-	return !pool.Fencing && g.Epoch > 1 && o.cfg.Now().Sub(g.Since) < takeoverWait
+	return !pool.Fencing && o.cfg.Now().Sub(g.Since) < takeoverWait
 }
 
 // assignment is what one engine is to be brought to.
--- a/internal/control/orderer/orderer_test.go
+++ b/internal/control/orderer/orderer_test.go
@@ -86,7 +86,7 @@
 func newBench(fencing bool) *bench {
 	return &bench{
 		now: time.Unix(1000, 0), engine: &engine{fencing: fencing, versions: make(map[string]bool)}, held: true,
-		store: &store{left: 1000}, load: []string{"v1"}, grant: dutykeeper.Grant{Epoch: 1, Since: time.Unix(1000, 0)},
+		store: &store{left: 1000}, load: []string{"v1"}, grant: dutykeeper.Grant{Epoch: 1, Since: time.Unix(900, 0)},
 	}
 }
 
@@ -175,7 +175,7 @@
 func TestAssertedAgain(t *testing.T) {
 	b := newBench(false)
 	b.engine.versions["v1"] = true
-	b.grant.Epoch = 5
+	b.grant = dutykeeper.Grant{Epoch: 5, Since: b.now}
 	b.run(t, b.orderer(b.engine), takeoverWait+time.Second)
 	want := inferrer.Order{Kind: inferrer.OrderLoad, Version: "v1", Fence: 5}
 	if !slices.Equal(b.engine.log, []inferrer.Order{want}) {
--- a/internal/daemon/demonstrator/moves.go
+++ b/internal/daemon/demonstrator/moves.go
@@ -14,7 +14,7 @@
 
 const (
 	// moveTime is from the publish to the hour of the trial's moves.
-	moveTime      = 13 * time.Second
+	moveTime      = 15 * time.Second
 	movingCallers = 6
 	callerPause   = 5 * time.Millisecond
 )
--- a/internal/standin/memorizer/memorizer.go
+++ b/internal/standin/memorizer/memorizer.go
@@ -64,6 +64,14 @@
 	m.lose = n
 }
 
+// Reset drops everything, as a service does that is restored from an old backup.
+func (m *Memorizer) Reset() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.entries)
+	clear(m.leases)
+}
+
 // Calls returns the calls counted so far.
 func (m *Memorizer) Calls() Calls {
 	m.mu.Lock()
