--- a/internal/control/mover/follower.go
+++ b/internal/control/mover/follower.go
@@ -318,6 +318,14 @@
 	return false
 }
 
+// isLate reports whether this daemon has taken its traffic of a move back for
+// the hour.
+func (f *Follower) isLate(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.follow(name).isLate(f.cfg.Now())
+}
+
 // Tick judges what is known, spreads the daemon's own outcomes and notices
 // that the hour has passed.
 func (f *Follower) Tick() {
--- a/internal/control/mover/mover.go
+++ b/internal/control/mover/mover.go
@@ -239,8 +239,11 @@
 			row.State, row.Share, row.Reason, row.Run = r.State, r.Share, r.Reason, r.Run
 			row.Holder, row.Epoch = r.Holder, r.Epoch
 			row.Seen = f.Outcomes(m.Name)
-			if l.Run == r.Run && r.State != Reverted && !r.Released {
+			switch {
+			case l.Run == r.Run && r.State != Reverted && !r.Released:
 				row.State, row.Share, row.Reason = Reverting, 0, l.Reason
+			case f.isLate(m.Name):
+				row.Share, row.Reason = 0, "the hour has passed and this daemon has not heard that the move is done"
 			}
 		}
 		rows = append(rows, row)
--- a/internal/daemon/verifier/move_test.go
+++ b/internal/daemon/verifier/move_test.go
@@ -207,6 +207,7 @@
 // TestLateFault lets the new version fail in the middle of the ramp while the
 // store is away, and after the move is done; it is taken back at once.
 func TestLateFault(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name string
 		at   mover.State
@@ -241,6 +242,7 @@
 // TestHolderLost kills or pauses the daemon that holds a move in the middle of
 // it; another must go on with a higher epoch and be done in time.
 func TestHolderLost(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name string
 		fail func(t *testing.T, d *daemon)
