--- a/internal/standin/keeper/weights.go
+++ b/internal/standin/keeper/weights.go
@@ -81,3 +81,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
 }
+
+// SetWeightRate replaces the rate in force.
+func (k *Keeper) SetWeightRate(r WeightRate) {
+	k.weights.mu.Lock()
+	defer k.weights.mu.Unlock()
+	k.weights.rate = r
+}
