--- a/internal/daemon/verifier/config_faults_test.go
+++ b/internal/daemon/verifier/config_faults_test.go
@@ -32,6 +32,7 @@
 		{"failure domain cut off and rejoined", configRejoins},
 		{"store back with older data", storeSetBack},
 		{"store back with nothing", storeEmptied},
+		{"one generation published twice", sameGeneration},
 		{"read-back names a daemon that lags", readBack},
 		{"both watchers die in a domain that is cut off", watchersDie},
 	} {
@@ -82,15 +83,15 @@
 	time.Sleep(3 * time.Second)
 	w.awaitInForce(time.Second, before, w.daemons...)
 	w.faults(keeper.Faults{})
-	w.awaitInForce(forceLimit, w.release(w.daemons[0], numberedSet(31)), w.daemons...)
+	before = w.release(w.daemons[0], numberedSet(31))
+	w.awaitInForce(forceLimit, before, w.daemons...)
 
 	// Down again before anybody can read the publish back: it was accepted.
 	w.faults(keeper.Faults{LoseAnswers: 1, DownAfterLoss: true})
-	out, err := w.tryPublish(w.daemons[0], numberedSet(32), w.newest(t))
+	out, err := w.tryPublish(w.daemons[0], numberedSet(32), before)
 	if err == nil || !strings.Contains(out, "not settled") {
 		t.Errorf("got %q (%v), want that the publish is not settled", out, err)
 	}
-	before = w.newest(t)
 	time.Sleep(time.Second)
 	w.faults(keeper.Faults{})
 	w.awaitInForce(forceLimit, before+1, w.daemons...)
@@ -180,6 +181,54 @@
 	w.awaitInForce(forceLimit, w.release(w.daemons[1], numberedSet(52)), w.daemons...)
 }
 
+// sameGeneration has the store lose a release that only a failure domain holds
+// which is cut off, and another published under the same number. The fleet must
+// settle on the one that the store holds.
+func sameGeneration(t *testing.T, w *network) {
+	const domain = "hartford"
+	from := w.newest(t)
+	call(t, "POST", "http://"+w.address+"/save", nil, nil)
+	w.cut(domain)
+	inside := w.cutStores(func(d *daemon) bool { return d.domain != domain })
+	lost, err := w.tryPublish(inside[0], numberedSet(70), from)
+	if err != nil {
+		t.Fatalf("publish: %v\n%s", err, lost)
+	}
+	w.awaitInForce(forceLimit, from+1, inside...)
+	outside := w.cutStores(func(d *daemon) bool { return d.domain == domain })
+	call(t, "POST", "http://"+w.address+"/restore", nil, nil)
+	w.awaitInForce(time.Second, from, outside...)
+	if kept, err := w.tryPublish(outside[0], numberedSet(71), from); err != nil {
+		t.Fatalf("publish: %v\n%s", err, kept)
+	}
+	w.awaitInForce(forceLimit, from+1, outside...)
+	w.cutStores(func(*daemon) bool { return false })
+	w.heal()
+	for _, d := range w.daemons {
+		eventually(t, rejoinLimit, "the release that the store holds in force at "+d.name, func() bool {
+			return strings.Contains(string(call(t, "GET", "http://"+d.operators+"/config", nil, nil)), "# 71\n")
+		})
+	}
+	if got := storedRelease(t, w); got.Generation != from+1 || !strings.Contains(string(got.Text), "# 71\n") {
+		t.Errorf("got generation %d in the store, want %d with the later text", got.Generation, from+1)
+	}
+	w.awaitAlive(9)
+}
+
+// cutStores cuts some daemons off from the store, and returns all others.
+func (w *network) cutStores(cut func(*daemon) bool) []*daemon {
+	var connected []*daemon
+	for i, d := range w.daemons {
+		if cut(d) {
+			w.stores[i].Set(faulter.Behaviour{Mode: faulter.ModeCut})
+			continue
+		}
+		w.stores[i].Set(faulter.Behaviour{Mode: faulter.ModePass})
+		connected = append(connected, d)
+	}
+	return connected
+}
+
 func readBack(t *testing.T, w *network) {
 	paused := w.daemons[7]
 	paused.signal(t, syscall.SIGSTOP)
