--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -114,7 +114,7 @@
 	if d.operators, err = lc.Listen(ctx, "tcp", s.Operators); err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
-	d.messenger, err = messenger.New(messenger.Config{Listen: s.Peers, Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA, Failed: d.materialFailed})
+	d.messenger, err = messenger.New(messenger.Config{Listen: s.Peers, Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA, Failed: d.materialFailed, Registry: d.registry})
 	return err
 }
 
--- a/internal/daemon/verifier/config_bench_test.go
+++ b/internal/daemon/verifier/config_bench_test.go
@@ -66,3 +66,33 @@
 		})
 	}
 }
+
+// BenchmarkControlCost reports what an idle daemon sends and receives over the
+// wire to other daemons, and what processor time and memory it takes, once a
+// fleet has long settled.
+func BenchmarkControlCost(b *testing.B) {
+	for _, n := range []int{3, 9, 27, 81} {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				measureControl(b, n)
+			}
+		})
+	}
+}
+
+func measureControl(b *testing.B, n int) {
+	const settled, window = 15 * time.Second, 15 * time.Second
+	c := newCluster(b)
+	for i := range n {
+		c.daemon(fmt.Sprintf("entry-%d", i), failureDomains[i%len(failureDomains)], daemonOptions{})
+	}
+	time.Sleep(settled)
+	d := c.daemons[n/2]
+	traffic := func() float64 { return d.counter(b, "peers_sent_bytes") + d.counter(b, "peers_received_bytes") }
+	bytes, used := traffic(), processorTime(b, d.cmd.Process.Pid)
+	time.Sleep(window)
+	b.ReportMetric((traffic()-bytes)/window.Seconds(), "wire-B/s")
+	b.ReportMetric(100*(processorTime(b, d.cmd.Process.Pid)-used).Seconds()/window.Seconds(), "%-of-a-core")
+	b.ReportMetric(residentMB(b, d.cmd.Process.Pid), "MB-resident")
+	b.ReportMetric(d.counter(b, "peers_connections"), "connections")
+}
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -13,6 +13,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/singleflight"
 )
 
@@ -35,6 +36,8 @@
 	Cert, Key, CA string
 	// Failed is called with an error of reading the files anew; may be nil.
 	Failed func(error)
+	// Registry receives gauges of the traffic; may be nil.
+	Registry metrics.Registry
 }
 
 // Messenger sends and receives messages. All methods are safe for concurrent
@@ -47,7 +50,8 @@
 	dials     singleflight.Group
 	mu        sync.Mutex
 	conns     map[string]*quic.Conn
-	inbound   map[*quic.Conn]struct{}
+	open      map[*quic.Conn]struct{}
+	ended     Traffic
 	handlers  map[string]Handler
 	datagrams map[string]func(body []byte)
 }
@@ -71,11 +75,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	return &Messenger{
+	m := &Messenger{
 		transport: tr, listener: ln, material: mat, failed: cfg.Failed,
-		conns: make(map[string]*quic.Conn), inbound: make(map[*quic.Conn]struct{}),
+		conns: make(map[string]*quic.Conn), open: make(map[*quic.Conn]struct{}),
 		handlers: make(map[string]Handler), datagrams: make(map[string]func([]byte)),
-	}, nil
+	}
+	m.register(cfg.Registry)
+	return m, nil
 }
 
 func quicConfig() *quic.Config {
@@ -141,19 +147,12 @@
 func (m *Messenger) dropStrangers() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for addr, c := range m.conns {
+	for c := range m.open {
 		if !m.material.trusts(c.ConnectionState().TLS) {
-			delete(m.conns, addr)
 			// The peer learns of the end by its idle timeout if this is lost.
 			_ = c.CloseWithError(0, "certificate no longer valid")
 		}
 	}
-	for c := range m.inbound {
-		if !m.material.trusts(c.ConnectionState().TLS) {
-			// As above.
-			_ = c.CloseWithError(0, "certificate no longer valid")
-		}
-	}
 }
 
 func (m *Messenger) close(ctx context.Context, cause error) error {
@@ -176,14 +175,7 @@
 }
 
 func (m *Messenger) serve(ctx context.Context, conn *quic.Conn) {
-	m.mu.Lock()
-	m.inbound[conn] = struct{}{}
-	m.mu.Unlock()
-	defer func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		delete(m.inbound, conn)
-	}()
+	m.track(conn)
 	if !m.material.trusts(conn.ConnectionState().TLS) {
 		// The key material changed during the handshake. The peer learns of
 		// the end by its idle timeout if this is lost.
@@ -339,6 +331,7 @@
 	defer m.mu.Unlock()
 	m.conns[addr] = conn
 	context.AfterFunc(conn.Context(), func() { m.forget(addr, conn) })
+	m.trackLocked(conn)
 	return conn, nil
 }
 
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -300,9 +300,7 @@
 		})
 	}
 	wg.Wait()
-	server.Messenger.mu.Lock()
-	defer server.Messenger.mu.Unlock()
-	if got := len(server.inbound); got != 1 {
+	if got := server.Connections(); got != 1 {
 		t.Errorf("got %d connections, want 1", got)
 	}
 }
