--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -129,6 +129,7 @@
 	neighbours neighbours
 	changed    bool
 	tokens     float64
+	rounds     int
 	started    time.Time
 	lastRound  time.Time
 	refreshed  time.Time
--- a/internal/fleet/gossiper/rumor.go
+++ b/internal/fleet/gossiper/rumor.go
@@ -19,6 +19,10 @@
 	minSends = 2
 	// envelopeBytes are left free in a datagram for its envelope.
 	envelopeBytes = 64
+	// fullRounds is the number of rounds of which one carries the whole record,
+	// for neighbours that missed it; each does in the time of introduction.
+	fullRounds   = 8
+	introduction = 10 * time.Second
 	// frequentFanout is the number of neighbours that a round sends frequent
 	// items to; what they miss is soon replaced, or comes by an exchange.
 	frequentFanout = 3
@@ -128,13 +132,23 @@
 // packHeader returns a packet without changes. The caller holds the lock.
 func (g *Gossiper) packHeader(flags int) []byte { return encode(packet{From: g.self, Flags: flags}) }
 
+// heartbeat returns this daemon's own record, mostly without the addresses that
+// its neighbours know. The caller holds the lock.
+func (g *Gossiper) heartbeat(now time.Time) record {
+	g.rounds++
+	if g.rounds%fullRounds == 0 || now.Sub(g.started) < introduction {
+		return g.self
+	}
+	return g.self.short()
+}
+
 // pack returns the packets of this round for a number of targets: the changes
 // that fit a datagram and the budget, without and with the frequent items. The
 // caller holds the lock.
 func (g *Gossiper) pack(now time.Time, targets int) (lean, full []byte) {
 	rate := float64(g.cfg.BytesRate)
 	g.tokens = min(g.tokens+rate*now.Sub(g.lastRound).Seconds(), burstSeconds*rate)
-	p := packet{From: g.self}
+	p := packet{From: g.heartbeat(now)}
 	room := messenger.MaxDatagramBytes - envelopeBytes - len(g.packHeader(0))
 	if targets == 0 {
 		return encode(p), encode(p)
@@ -238,14 +252,18 @@
 	g.mergeRecord(p.From, now)
 	reply := g.hear(p, now)
 	deliveries := g.mergeAll(p.Members, p.Items, now)
-	start := (stranger || reply != nil) && g.startExchange(now)
+	addr := p.From.Peers
+	if addr == "" && known != nil {
+		addr = known.Peers
+	}
+	start := (stranger || reply != nil) && addr != "" && g.startExchange(now)
 	g.mu.Unlock()
 	deliver(deliveries)
 	if reply != nil && p.Flags&flagReply == 0 {
-		g.send(ctx, p.From.Peers, reply)
+		g.send(ctx, addr, reply)
 	}
 	if start {
-		go g.exchange(ctx, p.From.Peers)
+		go g.exchange(ctx, addr)
 	}
 }
 
