Find the orders of a daemon that nobody has met sooner

Cause: a daemon that died, or was paused, before any other had heard of it is found only by the listing of all journals. That ran every 15 s and acts on the second sight, at least 10 s later: 30 s and more. TestOrderOwnerPaused failed so once in a run of all tests, with two daemons that had not met.

Ruled out: silence that is not noticed; neither daemon had the other as a member.

Before: TestOrderOwnerNeverMet, with daemons that never meet, failed after 25 s. After: a listing every 5 s, one for the whole fleet (0.2 reads a second); it passes, and so does TestOrderOwnerPaused.

Conclusion: 20 s at the worst for a stranger's orders; 5 s for a member's.

--- a/internal/traffic/recorder/adopter.go
+++ b/internal/traffic/recorder/adopter.go
@@ -30,7 +30,7 @@
 	strangerTime = 10 * time.Second
 	// scanPeriod is the time between two listings of all journals, which one
 	// daemon of the fleet makes.
-	scanPeriod  = 15 * time.Second
+	scanPeriod  = 5 * time.Second
 	adoptPeriod = time.Second
 	scanDuty    = "order scan"
 )
