Ask the other daemons before an order is refused as not run

Cause: while the store is away, a daemon refused a key as not run that had run at another daemon (TestRefusalsWhileStoreIsAway, key that ran elsewhere and daemon does not answer, failed). Weighed and left: telling witnesses of each order (messages on each order for a rare case).

Integration tests that mostly wait run in parallel.

--- a/internal/daemon/verifier/orders_link_test.go
+++ b/internal/daemon/verifier/orders_link_test.go
@@ -17,6 +17,7 @@
 // store write is lost. The service counts the runs; where it offers a status
 // look-up, an answer that was lost is found.
 func TestOrderServiceFaults(t *testing.T) {
+	t.Parallel()
 	d := newDesk(t, 2, nil)
 	_, addr := standin(t, "service", "--status")
 	d.services = append(d.services, addr)
--- a/internal/daemon/verifier/orders_test.go
+++ b/internal/daemon/verifier/orders_test.go
@@ -15,6 +15,7 @@
 // An order whose daemon is killed goes on if nothing of it was sent; otherwise
 // its end is looked up, or unknown where the service offers no look-up.
 func TestOrderOwnerKilled(t *testing.T) {
+	t.Parallel()
 	d := newDesk(t, 3, nil)
 	queued := post(d.daemons[0], "ledger", "queued", "respond-async")
 	if queued.status != http.StatusAccepted {
@@ -122,6 +123,7 @@
 
 // An owner paused until its order was taken over loses and sends nothing.
 func TestOrderOwnerPaused(t *testing.T) {
+	t.Parallel()
 	d := newDesk(t, 2, nil)
 	r := post(d.daemons[0], "ledger", "paused", "respond-async")
 	if r.status != http.StatusAccepted {
@@ -147,6 +149,7 @@
 // Endpoint and entry daemon are reclaimed with notice at once, twice in a row,
 // with the store away for 10 s in between.
 func TestOrderReclaims(t *testing.T) {
+	t.Parallel()
 	d := newDesk(t, 3, nil)
 	d.open("desk-0", "--delay", "1s")
 	var all []string
--- a/internal/traffic/recorder/carry.go
+++ b/internal/traffic/recorder/carry.go
@@ -86,9 +86,7 @@
 // for so long that others may count it as lost.
 func (r *Runner) send(ctx context.Context, j *job, o Order, l link, began time.Time, async bool) {
 	j.recorded(o)
-	r.mu.Lock()
-	r.recent[o.ID] = began
-	r.mu.Unlock()
+	r.mark(o.ID)
 	if age := r.now().Sub(began); age > maxDispatchAge {
 		r.unsent(ctx, j, o, async, fmt.Errorf("dispatch took %s", age))
 		return
--- a/internal/traffic/recorder/fakes_test.go
+++ b/internal/traffic/recorder/fakes_test.go
@@ -21,6 +21,8 @@
 	revision uint64
 	entries  map[string]storer.Entry
 	down     bool
+	// silent holds up every call until its caller gives up.
+	silent bool
 	// lose and delay are the numbers of coming writes whose answer is lost
 	// after they took effect, and of records that take effect only late.
 	lose, delay int
@@ -41,16 +43,20 @@
 	f(s)
 }
 
-func (s *fakeStore) away() bool {
+func (s *fakeStore) away(ctx context.Context) bool {
 	time.Sleep(callTime)
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.down
+	down, silent := s.down, s.silent
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+	}
+	return down || silent
 }
 
 // Get implements storer.Store.
-func (s *fakeStore) Get(_ context.Context, key string) (storer.Entry, error) {
-	if s.away() {
+func (s *fakeStore) Get(ctx context.Context, key string) (storer.Entry, error) {
+	if s.away(ctx) {
 		return storer.Entry{}, storer.ErrUnavailable
 	}
 	s.mu.Lock()
@@ -62,8 +68,8 @@
 }
 
 // Swap implements storer.Store.
-func (s *fakeStore) Swap(_ context.Context, w storer.Write) (storer.Entry, error) {
-	if s.away() {
+func (s *fakeStore) Swap(ctx context.Context, w storer.Write) (storer.Entry, error) {
+	if s.away(ctx) {
 		return storer.Entry{}, storer.ErrUnsettled
 	}
 	s.mu.Lock()
@@ -104,8 +110,8 @@
 }
 
 // List implements storer.Store.
-func (s *fakeStore) List(_ context.Context, prefix string) (storer.Page, error) {
-	if s.away() {
+func (s *fakeStore) List(ctx context.Context, prefix string) (storer.Page, error) {
+	if s.away(ctx) {
 		return storer.Page{}, storer.ErrUnavailable
 	}
 	s.mu.Lock()
@@ -125,8 +131,8 @@
 }
 
 // Grant implements storer.Store.
-func (s *fakeStore) Grant(_ context.Context, ttl time.Duration) (storer.Lease, error) {
-	if s.away() {
+func (s *fakeStore) Grant(ctx context.Context, ttl time.Duration) (storer.Lease, error) {
+	if s.away(ctx) {
 		return storer.Lease{}, storer.ErrUnavailable
 	}
 	return storer.Lease{ID: "lease", TTL: ttl}, nil
@@ -214,6 +220,12 @@
 	return Report{State: "absent"}, nil
 }
 
+func (s *fakeServices) ran(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[key] > 0
+}
+
 // run runs an order once, and answers after some time.
 func (s *fakeServices) run(key string, took time.Duration) {
 	s.mu.Lock()
--- a/internal/traffic/recorder/lookup.go
+++ b/internal/traffic/recorder/lookup.go
@@ -118,7 +118,7 @@
 // its route.
 func (r *Runner) report(ctx context.Context, o Order, path string) (Report, error) {
 	err := fmt.Errorf("endpoint %s is gone", o.Endpoint)
-	for _, e := range r.witnesses(o) {
+	for _, e := range r.informants(o) {
 		var report Report
 		if report, err = r.cfg.Services.Status(ctx, e.Address, path); err == nil && report.State != "" {
 			return report, nil
@@ -127,7 +127,7 @@
 	return Report{}, err
 }
 
-func (r *Runner) witnesses(o Order) []viewer.Endpoint {
+func (r *Runner) informants(o Order) []viewer.Endpoint {
 	v := r.cfg.View()
 	route, _ := v.Set.Route(o.Route)
 	var others []viewer.Endpoint
--- a/internal/traffic/recorder/model_test.go
+++ b/internal/traffic/recorder/model_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -61,9 +62,10 @@
 // modelReply is what a caller was told.
 type modelReply struct {
 	key   string
-	async bool
 	order Order
 	err   error
+	// ran says that the order had run when the caller was told.
+	ran bool
 }
 
 func newFakeFleet(faults []sendFault) *fakeFleet {
@@ -198,7 +200,7 @@
 		if d.stopped {
 			o, err = Order{}, errKilled
 		}
-		f.replies = append(f.replies, modelReply{key: name, async: e.Async, order: o, err: err})
+		f.replies = append(f.replies, modelReply{key: name, order: o, err: err, ran: f.services.ran(name)})
 	})
 }
 
@@ -261,8 +263,9 @@
 }
 
 func drawSchedule(t *rapid.T) ([]modelEvent, []sendFault) {
-	kinds := []string{
-		"post", "post", "post", "post", "post", "kill", "drain", "pause", "cut", "store away", "answers lost", "writes late", "services away",
+	kinds := []string{"post", "post", "post", "post", "post", "store away", "answers lost", "writes late", "services away"}
+	if rapid.Bool().Draw(t, "lose daemons") {
+		kinds = append(kinds, "kill", "drain", "pause", "cut")
 	}
 	millis := func(name string, limit int) time.Duration {
 		return time.Duration(rapid.IntRange(0, limit).Draw(t, name)) * time.Millisecond
@@ -294,7 +297,9 @@
 	}
 	time.Sleep(restTime)
 	f.wg.Wait()
-	wrong := f.check()
+	wrong := f.check(!slices.ContainsFunc(events, func(e modelEvent) bool {
+		return slices.Contains([]string{"kill", "drain", "pause", "cut"}, e.Kind)
+	}))
 	f.mu.Lock()
 	daemons := f.daemons
 	f.mu.Unlock()
@@ -305,8 +310,9 @@
 	return wrong
 }
 
-// check compares what callers were told, what is recorded and what ran.
-func (f *fakeFleet) check() []string {
+// check compares what callers were told, what is recorded and what ran. In a
+// steady fleet all daemons could be asked at any time.
+func (f *fakeFleet) check(steady bool) []string {
 	var wrong []string
 	fault := func(format string, args ...any) { wrong = append(wrong, fmt.Sprintf(format, args...)) }
 	records := make(map[string]Order)
@@ -337,6 +343,9 @@
 	refusedOnly := make(map[string]bool)
 	for _, r := range f.replies {
 		wrong = append(wrong, r.check(records, f.services.answers[r.key])...)
+		if steady && r.ran && r.notRun() {
+			fault("order %s was refused as not run (%v) after it ran", r.key, r.err)
+		}
 		if _, seen := refusedOnly[r.key]; !seen {
 			refusedOnly[r.key] = true
 		}
--- a/internal/traffic/recorder/recorder_test.go
+++ b/internal/traffic/recorder/recorder_test.go
@@ -318,6 +318,53 @@
 	})
 }
 
+// While the store is away, an order that a daemon may have run is not refused as
+// not run by another one, and nobody is held up for long.
+func TestRefusalsWhileStoreIsAway(t *testing.T) {
+	const atOnce = 10 * time.Millisecond
+	for _, tc := range []struct {
+		name   string
+		set    func(*fakeStore)
+		key    string
+		daemon int
+		paused bool
+		want   refuser.RunState
+		limit  time.Duration
+	}{
+		{"fresh key", func(s *fakeStore) { s.down = true }, "fresh", 1, false, refuser.NotRun, atOnce},
+		{"key that ran here", func(s *fakeStore) { s.down = true }, testKey, 0, false, refuser.Unknown, atOnce},
+		{"key that ran elsewhere", func(s *fakeStore) { s.down = true }, testKey, 1, false, refuser.Unknown, atOnce},
+		{"daemon does not answer", func(s *fakeStore) { s.down = true }, "fresh", 1, true, refuser.Unknown, witnessTimeout + atOnce},
+		{"silent store", func(s *fakeStore) { s.silent = true }, "fresh", 1, false, refuser.NotRun, recordTimeout + atOnce},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inFleet(t, func(t *testing.T, f *fakeFleet) {
+				if o, err := f.daemons[0].runner.Submit(t.Context(), submission(false)); err != nil || o.State != StateDone {
+					t.Fatalf("got order %s (%v), want done", o.State, err)
+				}
+				f.store.set(tc.set)
+				if tc.paused {
+					defer f.daemons[0].gate.pause()()
+				}
+				s := submission(false)
+				s.Key = tc.key
+				began := time.Now()
+				for i, limit := range []time.Duration{tc.limit, min(tc.limit, witnessTimeout+atOnce)} {
+					_, err := f.daemons[tc.daemon].runner.Submit(t.Context(), s)
+					var refusal *refuser.Refusal
+					if !errors.As(err, &refusal) || refusal.Run != tc.want {
+						t.Errorf("try %d: got error %v, want a refusal with run state %s", i, err, tc.want)
+					}
+					if got := time.Since(began); got > limit {
+						t.Errorf("try %d: refused after %s, want at most %s", i, got, limit)
+					}
+					began = time.Now()
+				}
+			})
+		})
+	}
+}
+
 // Ended orders go with the lease that they share; a lease that is gone is
 // replaced.
 func TestRetention(t *testing.T) {
--- a/internal/traffic/recorder/refusals.go
+++ b/internal/traffic/recorder/refusals.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 
@@ -8,17 +9,14 @@
 )
 
 // storeRefusal refuses an order that could not be recorded. It was not sent by
-// this daemon, and none of its records allows another to send it; but a key
-// that this daemon has seen before may have run then.
-func (r *Runner) storeRefusal(o Order, err error) error {
+// this daemon, and none of its records allows another to send it; but an earlier
+// request with its key may have run.
+func (r *Runner) storeRefusal(ctx context.Context, o Order, err error) error {
 	refusal := &refuser.Refusal{
 		Status: http.StatusServiceUnavailable, Title: "store-unavailable", Run: refuser.NotRun, Err: err,
-		RetryAfter: r.cfg.Recorder.cfg.Outage.RetryAfter(r.now()),
-		Detail:     "the order could not be recorded, and this request was not run",
+		RetryAfter: r.cfg.Recorder.RetryAfter(), Detail: "the order could not be recorded, and was not run",
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if _, seen := r.recent[o.ID]; seen {
+	if r.mayHaveRun(ctx, o.ID) {
 		refusal.Run = refuser.Unknown
 		refusal.Detail = "the order cannot be read at present, and an earlier request with its key may have run; read /v1/orders/" + o.ID
 	}
@@ -44,7 +42,7 @@
 func (r *Runner) unsettled(o Order, cause error) error {
 	return &refuser.Refusal{
 		Status: http.StatusServiceUnavailable, Title: "store-unavailable", Run: refuser.Unknown, Err: cause,
-		RetryAfter: r.cfg.Recorder.cfg.Outage.RetryAfter(r.now()),
+		RetryAfter: r.cfg.Recorder.RetryAfter(),
 		Detail:     "it is not known whether the order was accepted; read /v1/orders/" + o.ID,
 	}
 }
--- a/internal/traffic/recorder/runner.go
+++ b/internal/traffic/recorder/runner.go
@@ -109,6 +109,7 @@
 	if cfg.Peers != nil {
 		cfg.Peers.Handle(kindTake, r.handleTake)
 		cfg.Peers.Handle(kindSettle, r.handleSettle)
+		cfg.Peers.Handle(kindSeen, r.handleSeen)
 	}
 	return r
 }
@@ -177,7 +178,7 @@
 // dispatched. Nothing is written for an order that no service can take.
 func (r *Runner) begin(ctx context.Context, j *job, o Order, async bool) {
 	if !r.cfg.Recorder.cfg.Outage.Try(r.now()) {
-		j.fail(r.storeRefusal(o, nil))
+		j.fail(r.storeRefusal(ctx, o, nil))
 		return
 	}
 	connected := make(chan link, 1)
@@ -187,7 +188,7 @@
 	defer l.close()
 	defer r.journal.remove(o.ID)
 	if err != nil {
-		j.fail(r.storeRefusal(o, err))
+		j.fail(r.storeRefusal(ctx, o, err))
 		return
 	}
 	if l.err != nil {
@@ -229,7 +230,7 @@
 		return
 	}
 	if err := r.list(ctx, o.ID); err != nil {
-		j.fail(r.storeRefusal(o, err))
+		j.fail(r.storeRefusal(ctx, o, err))
 		return
 	}
 	r.beginSend(ctx, j, stale.Current.withRequest(o), l, async)
@@ -246,7 +247,7 @@
 		j.known(stale.Current, o)
 	case s.Next.State == StateDispatched:
 		// Only this daemon could send the order, and it does not.
-		j.fail(r.storeRefusal(o, err))
+		j.fail(r.storeRefusal(ctx, o, err))
 		r.annul(ctx, s, triggerWithdraw)
 	default:
 		// The record may stand, and another daemon may run it.
@@ -268,7 +269,7 @@
 		j.known(known, o)
 		return
 	case err != nil && !errors.Is(err, storer.ErrNotFound):
-		j.fail(r.storeRefusal(o, err))
+		j.fail(r.storeRefusal(ctx, o, err))
 		return
 	case !async:
 		j.fail(r.unavailable(o, cause))
@@ -287,6 +288,7 @@
 		return
 	}
 	j.recorded(recorded)
+	r.mark(o.ID)
 	r.queue(ctx, j, recorded)
 }
 
