Renew duties side by side

Cause: a daemon renewed its duties one after the other, so with a store that takes 1 s for a call 12 duties lapsed (TestSlowStore, seen failing: duty-2 lost); now none does in 20 s. The moves verb shows from and to.

--- a/cmd/pomelotiller/moves.go
+++ b/cmd/pomelotiller/moves.go
@@ -13,6 +13,8 @@
 type moveRow struct {
 	Name   string    `json:"name"`
 	Route  string    `json:"route"`
+	From   string    `json:"from"`
+	To     string    `json:"to"`
 	State  string    `json:"state"`
 	Share  float64   `json:"share"`
 	By     time.Time `json:"by"`
@@ -32,9 +34,9 @@
 			if err != nil {
 				return err
 			}
-			return f.print(cmd.OutOrStdout(), moves, "NAME\tROUTE\tSTATE\tSHARE\tBY\tREASON", func(w io.Writer) {
+			return f.print(cmd.OutOrStdout(), moves, "NAME\tROUTE\tFROM\tTO\tSTATE\tSHARE\tBY\tREASON", func(w io.Writer) {
 				for _, m := range moves {
-					fmt.Fprintf(w, "%s\t%s\t%s\t%g\t%s\t%s\n", m.Name, m.Route, m.State, m.Share, m.By.Format(time.RFC3339), m.Reason)
+					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%g\t%s\t%s\n", m.Name, m.Route, m.From, m.To, m.State, m.Share, m.By.Format(time.RFC3339), m.Reason)
 				}
 			})
 		}).run,
--- a/internal/control/dutykeeper/dutykeeper.go
+++ b/internal/control/dutykeeper/dutykeeper.go
@@ -22,6 +22,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
 
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
@@ -40,6 +41,8 @@
 	// renewals is the number of renewals within a lease's time to live.
 	renewals   = 3
 	tickPeriod = 100 * time.Millisecond
+	// parallelism bounds the duties whose calls are made side by side.
+	parallelism = 16
 	// tryPeriod is the time between two tries for a duty that another holds.
 	tryPeriod = 500 * time.Millisecond
 	// guard is how long before the lease's end its holder stops to act.
@@ -159,15 +162,23 @@
 func (k *Keeper) Tick(ctx context.Context) {
 	members := k.cfg.Members()
 	wanted := make(map[string]bool)
+	// A slow store must not make one duty wait for the calls of another.
+	var g errgroup.Group
+	g.SetLimit(parallelism)
 	for _, duty := range k.cfg.Duties() {
 		wanted[duty] = true
-		mine := Owner(duty, members) == k.cfg.Self
-		if h := k.get(duty); h != nil {
-			k.keep(ctx, duty, h, mine)
-		} else if mine {
-			k.try(ctx, duty)
-		}
+		g.Go(func() error {
+			mine := Owner(duty, members) == k.cfg.Self
+			if h := k.get(duty); h != nil {
+				k.keep(ctx, duty, h, mine)
+			} else if mine {
+				k.try(ctx, duty)
+			}
+			return nil
+		})
 	}
+	// Failures are counted, and the calls are made again.
+	_ = g.Wait()
 	k.mu.Lock()
 	var unwanted []string
 	for duty := range k.held {
@@ -238,10 +249,15 @@
 // try takes a duty if nobody holds it.
 func (k *Keeper) try(ctx context.Context, duty string) {
 	now := k.cfg.Now()
-	if now.Sub(k.tried[duty]) < tryPeriod {
+	k.mu.Lock()
+	recent := now.Sub(k.tried[duty]) < tryPeriod
+	if !recent {
+		k.tried[duty] = now
+	}
+	k.mu.Unlock()
+	if recent {
 		return
 	}
-	k.tried[duty] = now
 	if _, err := k.cfg.Store.Get(ctx, livePrefix+duty); !errors.Is(err, storer.ErrNotFound) {
 		return
 	}
--- a/internal/control/dutykeeper/dutykeeper_test.go
+++ b/internal/control/dutykeeper/dutykeeper_test.go
@@ -1,11 +1,14 @@
 package dutykeeper
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pomelotiller/internal/fleet/viewer"
+	"pomelotiller/internal/platform/storer"
 	"pomelotiller/internal/standin/memorizer"
 )
 
@@ -167,6 +170,48 @@
 	}
 }
 
+// slow is a store that answers late.
+type slow struct {
+	storer.Store
+	delay time.Duration
+}
+
+func (s slow) Renew(ctx context.Context, id string) error {
+	time.Sleep(s.delay)
+	return s.Store.Renew(ctx, id)
+}
+
+// TestSlowStore holds more duties than could be renewed in time one by one.
+func TestSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memorizer.New(memorizer.Config{Now: time.Now})
+		var duties []string
+		for i := range 12 {
+			duties = append(duties, fmt.Sprintf("duty-%d", i))
+		}
+		k := New(Config{
+			Self: "entry-0", Store: slow{store, time.Second}, Duties: func() []string { return duties },
+			Members: func() []viewer.Member { return []viewer.Member{{Name: "entry-0", State: viewer.StateAlive}} },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- k.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		for range 100 {
+			time.Sleep(200 * time.Millisecond)
+			for _, d := range duties {
+				if _, ok := k.Held(d); !ok {
+					t.Errorf("got %s lost, want it held with a store that answers in 1 s", d)
+				}
+			}
+		}
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("got error %v at the end, want none", err)
+		}
+	})
+}
+
 // TestIdleCalls bounds the calls that an idle fleet makes for a duty.
 func TestIdleCalls(t *testing.T) {
 	f := newFleet(t, 9, 3)
