--- a/internal/traffic/recorder/model_test.go
+++ b/internal/traffic/recorder/model_test.go
@@ -19,7 +19,6 @@
 	"pomelotiller/internal/fleet/messenger"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/tracer"
-	"pomelotiller/internal/platform/storer"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/router"
 )
@@ -82,7 +81,7 @@
 	name := fmt.Sprintf("entry-%d", n)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &fakeDaemon{
-		Member: viewer.Member{Name: name, Peers: name, Incarnation: n, State: viewer.StateAlive}, gate: &gate{}, end: cancel,
+		Member: viewer.Member{Name: name, Peers: name, Boot: n, State: viewer.StateAlive}, gate: &gate{}, end: cancel,
 	}
 	f.daemons = append(f.daemons, d)
 	f.mu.Unlock()
@@ -399,5 +398,3 @@
 		}
 	})
 }
-
-var _ storer.Store = (*fakeStore)(nil)
