--- a/internal/traffic/router/work.go
+++ b/internal/traffic/router/work.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -72,7 +73,12 @@
 	Tokens   int
 }
 
-// OwnWork encodes what this daemon has in flight, for its peers.
+// maxShares bounds the endpoints that a daemon tells of, so that its word fits a
+// gossip item.
+const maxShares = 20
+
+// OwnWork encodes what this daemon has in flight, for its peers: the endpoints on
+// which it has most.
 func (r *Router) OwnWork() ([]byte, error) {
 	r.mu.Lock()
 	shares := make([]share, 0, len(r.own))
@@ -80,8 +86,10 @@
 		shares = append(shares, share{Endpoint: name, Requests: w.requests, Tokens: w.tokens})
 	}
 	r.mu.Unlock()
-	slices.SortFunc(shares, func(a, b share) int { return strings.Compare(a.Endpoint, b.Endpoint) })
-	return cbor.Marshal(shares)
+	slices.SortFunc(shares, func(a, b share) int {
+		return cmp.Or(b.Requests-a.Requests, strings.Compare(a.Endpoint, b.Endpoint))
+	})
+	return cbor.Marshal(shares[:min(len(shares), maxShares)])
 }
 
 // SetPeerWork takes in what a peer has in flight, as OwnWork encoded it.
