Keep the comparison of cost under each condition beside that at the target

Cause: TestCostAtTheTarget had taken the place of TestCost, which compares under faults too; the new check asks other things and is no substitute.

--- a/internal/measure/comparer/comparer_test.go
+++ b/internal/measure/comparer/comparer_test.go
@@ -68,12 +68,16 @@
 
 var sites = []site{{"granite", 60, granite()}, {"kadalu", 24, kadalu()}}
 
-// conditions are the faults under which the policies are compared.
-var conditions = []struct {
+// condition is a fault under which the policies are compared.
+type condition struct {
 	name   string
 	change func(f *Fleet)
-}{
-	{"sound", func(*Fleet) {}},
+}
+
+var sound = condition{"sound", func(*Fleet) {}}
+
+var conditions = []condition{
+	sound,
 	{"late", func(f *Fleet) { f.EventLag, f.EventLoss = 5*time.Second, 0.1 }},
 	{"slow", func(f *Fleet) {
 		f.Faults = []Fault{{Kind: FaultSlow, At: 5 * time.Second, Target: f.Domains[0] + "-engine-0", Factor: 6}}
@@ -86,12 +90,25 @@
 	}},
 }
 
+// runKey names one set of runs.
+type runKey struct {
+	scenario, condition, policy string
+	engines, seeds              int
+}
+
+// results keeps what was run: runs in virtual time give the same each time.
+var results = make(map[runKey]reporter.Report)
+
 // sum runs a policy on the first seeds. Recomputed and Cost are sums, First.P95
 // is the mean.
-func sum(t testing.TB, x site, change func(*Fleet), name string, seeds int) reporter.Report {
+func sum(t testing.TB, x site, c condition, name string, seeds int) reporter.Report {
 	t.Helper()
+	k := runKey{x.scenario, c.name, name, x.fleet.Engines, seeds}
+	if r, ok := results[k]; ok {
+		return r
+	}
 	f := x.fleet
-	change(&f)
+	c.change(&f)
 	var out reporter.Report
 	for seed := range seeds {
 		s := scenario(t, x.scenario, x.rate)
@@ -107,6 +124,7 @@
 		out.Between.P95 += r.Between.P95 / float64(seeds)
 	}
 	out.CostPerThousand = out.Cost / float64(out.OnTime) * 1000
+	results[k] = out
 	return out
 }
 
@@ -115,8 +133,8 @@
 	for _, x := range sites {
 		for _, c := range conditions {
 			t.Run(x.scenario+"/"+c.name, func(t *testing.T) {
-				got := sum(t, x, c.change, "predicted", 1)
-				base := sum(t, x, c.change, "least-in-flight", 1)
+				got := sum(t, x, c, "predicted", 1)
+				base := sum(t, x, c, "least-in-flight", 1)
 				if got.Recomputed*2 > base.Recomputed {
 					t.Errorf("got %d tokens recomputed, want at most half of %d", got.Recomputed, base.Recomputed)
 				}
@@ -128,11 +146,28 @@
 	}
 }
 
+// TestCost compares the cost of 1,000 answers on time of fleets of one size,
+// under each condition.
+func TestCost(t *testing.T) {
+	for _, x := range sites {
+		for _, c := range conditions {
+			got := sum(t, x, c, "predicted", 1)
+			for _, name := range []string{"round-robin", "least-in-flight", "prefix-hash"} {
+				base := sum(t, x, c, name, 1)
+				if got.CostPerThousand > base.CostPerThousand {
+					t.Errorf("%s/%s: got cost %.5f for 1,000 on time, want at most %.5f of %s",
+						x.scenario, c.name, got.CostPerThousand, base.CostPerThousand, name)
+				}
+			}
+		}
+	}
+}
+
 // meets reports whether a policy meets the latency target with a number of
 // engines in each failure domain, and the cost with these.
 func meets(t testing.TB, x site, name string, engines int) (cost float64, ok bool) {
 	x.fleet.Engines = engines
-	r := sum(t, x, func(*Fleet) {}, name, 1)
+	r := sum(t, x, sound, name, 1)
 	return r.CostPerThousand, r.OnTime*100 >= r.Requests*95 && r.First.P95 <= 1000 && r.Between.P95 <= 27
 }
 
@@ -161,7 +196,6 @@
 // TestNearOracle compares with the same policy when it sees the true caches.
 func TestNearOracle(t *testing.T) {
 	for _, x := range sites {
-		sound := conditions[0].change
 		got, best := sum(t, x, sound, "predicted", 3), sum(t, x, sound, oracle, 3)
 		if got.Recomputed*10 > best.Recomputed*11 {
 			t.Errorf("%s: got %d tokens recomputed, want at most a tenth over the oracle's %d", x.scenario, got.Recomputed, best.Recomputed)
@@ -176,7 +210,7 @@
 			for _, name := range names {
 				b.Run(x.scenario+"/"+c.name+"/"+name, func(b *testing.B) {
 					for b.Loop() {
-						r := sum(b, x, c.change, name, 1)
+						r := sum(b, x, c, name, 1)
 						b.ReportMetric(float64(r.OnTime)/float64(r.Requests)*100, "ontime-%")
 						b.ReportMetric(float64(r.Recomputed)/1000, "recomputed-kT")
 						b.ReportMetric(r.First.P95, "first-p95-ms")
