Cut a connection after its first byte, not before it

Cause: TestRunState had a link that resets each connection as soon as it is accepted. The reset can arrive before the dial returns; nothing was sent then, and not-run, which the test refused, is true. Seen once in a run of all tests.

Resets before it are the case of a refused dial.

--- a/internal/traffic/relayer/relayer_test.go
+++ b/internal/traffic/relayer/relayer_test.go
@@ -227,7 +227,7 @@
 		want    refuser.RunState
 	}{
 		{"dial refused", closedAddress, refuser.NotRun},
-		{"connection cut at once", behind(faulter.ModeCut, 0), refuser.Unknown},
+		{"cut after the first byte", behind(faulter.ModeReset, 1), refuser.Unknown},
 		{"reset in header", behind(faulter.ModeReset, 10), refuser.Unknown},
 		{"reset in body", behind(faulter.ModeReset, paddingBytes), refuser.Unknown},
 		{"closed after body", hangUp, refuser.Unknown},
