--- a/internal/traffic/recorder/model_test.go
+++ b/internal/traffic/recorder/model_test.go
@@ -186,8 +186,8 @@
 }
 
 func (f *fakeFleet) post(d *fakeDaemon, e modelEvent) {
-	route, name := "ledger", fmt.Sprintf("key-%d", e.N)
-	if e.N%2 == 0 {
+	route, name := "ledger", fmt.Sprintf("key-%d", e.Key)
+	if e.Key%2 == 0 {
 		route = "desk"
 	}
 	f.wg.Go(func() {
@@ -206,9 +206,10 @@
 
 // modelEvent is one step of a schedule.
 type modelEvent struct {
-	Kind  string
-	N     int
-	Async bool
+	Kind string
+	// N picks the daemon, Key the order.
+	N, Key int
+	Async  bool
 	// After is the time since the event before, For the length of a fault.
 	After, For time.Duration
 }
@@ -221,7 +222,7 @@
 	}
 	switch e.Kind {
 	case "post":
-		f.post(f.alive(e.N/3), e)
+		f.post(d, e)
 	case "kill":
 		f.stop(d)
 		f.boot()
@@ -270,6 +271,7 @@
 	millis := func(name string, limit int) time.Duration {
 		return time.Duration(rapid.IntRange(0, limit).Draw(t, name)) * time.Millisecond
 	}
+	keys := rapid.SampledFrom([]int{2, 12}).Draw(t, "keys")
 	var events []modelEvent
 	for range rapid.IntRange(4, 30).Draw(t, "events") {
 		after := 8
@@ -277,7 +279,7 @@
 			after = 4000
 		}
 		events = append(events, modelEvent{
-			Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), N: rapid.IntRange(0, 11).Draw(t, "n"),
+			Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), N: rapid.IntRange(0, 11).Draw(t, "n"), Key: rapid.IntRange(0, keys-1).Draw(t, "key"),
 			Async: rapid.Bool().Draw(t, "async"), After: millis("after", after), For: millis("for", 12000),
 		})
 	}
--- a/internal/traffic/recorder/witness.go
+++ b/internal/traffic/recorder/witness.go
@@ -7,8 +7,8 @@
 	"pomelotiller/internal/fleet/viewer"
 )
 
-// kindSeen asks a daemon whether it has had an order of some id lately. Its
-// answer is empty if not.
+// kindSeen asks a daemon whether it has an order of some id in hand or had it
+// lately. Its answer is empty if not.
 const kindSeen = "orders.seen"
 
 const (
@@ -33,7 +33,10 @@
 }
 
 func (r *Runner) handleSeen(_ context.Context, body []byte) ([]byte, error) {
-	if r.marked(string(body)) {
+	r.mu.Lock()
+	open := r.jobs[string(body)] != nil
+	r.mu.Unlock()
+	if open || r.marked(string(body)) {
 		return []byte{1}, nil
 	}
 	return nil, nil
