--- a/internal/daemon/verifier/orders_test.go
+++ b/internal/daemon/verifier/orders_test.go
@@ -72,6 +72,11 @@
 	if n := d.runs("same"); n != 1 {
 		t.Errorf("got %d runs, want 1", n)
 	}
+	late := post(d.daemons[0], "ledger", "late", "wait=0.1")
+	if late.status != http.StatusAccepted {
+		t.Errorf("got status %d: %s at the caller's deadline, want 202", late.status, late.body)
+	}
+	d.awaitState(late.location, recorder.StateDone)
 }
 
 // The service answers while the store is away: the caller gets the answer, and
