--- a/internal/daemon/verifier/orders_link_test.go
+++ b/internal/daemon/verifier/orders_link_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"pomelotiller/internal/platform/lister"
 	"pomelotiller/internal/standin/faulter"
@@ -13,6 +14,9 @@
 	"pomelotiller/internal/traffic/recorder"
 )
 
+// silentLimit bounds the time to a refusal while the store is silent.
+const silentLimit = 3 * time.Second
+
 // The connection to the service fails once at each moment, or the answer to a
 // store write is lost. The service counts the runs; where it offers a status
 // look-up, an answer that was lost is found.
@@ -103,3 +107,35 @@
 		})
 	}
 }
+
+// Connections to the store go silent. Orders are refused soon, as not run; the
+// same key is taken once the store answers again.
+func TestOrderSilentStore(t *testing.T) {
+	t.Parallel()
+	var link *faulter.Link
+	d := newDesk(t, 2, func(c *cluster) string {
+		link = c.link("tcp", c.address)
+		return link.Address()
+	})
+	d.open("desk-0")
+	link.Set(faulter.Behaviour{Mode: faulter.ModeBlackhole})
+	for i := range 4 {
+		began := time.Now()
+		r := post(d.daemons[i%2], "ledger", "silent", "")
+		if r.status != http.StatusServiceUnavailable || !bytes.Contains(r.body, []byte(`"run":"not-run"`)) || !bytes.Contains(r.body, []byte("retry_after")) {
+			t.Errorf("got status %d: %s (%v), want 503, not-run and retry_after", r.status, r.body, r.err)
+		}
+		if took := time.Since(began); took > silentLimit {
+			t.Errorf("refused after %s, want at most %s", took, silentLimit)
+		}
+	}
+	// The link forwards nothing on the connections that were open, for good.
+	link.Set(faulter.Behaviour{Mode: faulter.ModeCut})
+	link.Set(faulter.Behaviour{Mode: faulter.ModePass})
+	eventually(t, startTimeout, "the order done", func() bool {
+		return post(d.daemons[0], "ledger", "silent", "").status == http.StatusOK
+	})
+	if n := d.runs("silent"); n != 1 {
+		t.Errorf("got %d runs, want 1", n)
+	}
+}
