Keep one daemon's greedy organisation from its peers' places

Slack of 10 to 30% above the share was ruled out, it made all of it worse. Now a limit grows only for organisations within their shares or alone, and one above the daemons' mean is cut by more.

--- a/internal/traffic/admitter/gate.go
+++ b/internal/traffic/admitter/gate.go
@@ -217,13 +217,27 @@
 	return float64(g.inFlight+1) <= min(g.own.value, g.limitOf(t).value)
 }
 
-// noteShort notes which limits keep a request from its place.
+// noteShort notes which limits keep a request from its place. The own limit
+// grows only for organisations within their shares, or for one that is alone:
+// otherwise a daemon with a greedy one would take its peers' capacity.
 func (g *Gate) noteShort(t *tenant) {
-	for _, l := range []*limit{&g.own, g.limitOf(t)} {
-		if float64(g.inFlight+1) > l.value {
-			l.short = true
+	l := g.limitOf(t)
+	if float64(g.inFlight+1) > l.value {
+		l.short = true
+	}
+	if float64(g.inFlight+1) > g.own.value && g.isAlone(t) {
+		g.own.short = true
+	}
+}
+
+// isAlone reports whether no other organisation wants places.
+func (g *Gate) isAlone(t *tenant) bool {
+	for _, o := range g.orgs {
+		if o != t && o.inFlight+o.peers+len(o.queue) > 0 {
+			return false
 		}
 	}
+	return true
 }
 
 // limitOf returns the limit that holds for an organisation at present.
@@ -353,8 +367,12 @@
 	slices.Sort(g.ratios)
 	high := g.ratios[len(g.ratios)*9/10]
 	g.learnLeast(high)
-	g.own.adapt(high, g.least)
-	g.lent.adapt(high, g.least)
+	sum := g.own.value
+	for _, u := range g.peers {
+		sum += u.Limit
+	}
+	g.own.adapt(high, g.least, sum/float64(len(g.peers)+1))
+	g.lent.adapt(high, g.least, g.lent.value)
 	g.changed, g.ratios = now, g.ratios[:0]
 }
 
--- a/internal/traffic/admitter/limit.go
+++ b/internal/traffic/admitter/limit.go
@@ -1,6 +1,9 @@
 package admitter
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	initialLimit = 128
@@ -13,6 +16,8 @@
 	// the least number of latencies that a change is based on.
 	window     = time.Second
 	minSamples = 10
+	// maxWeight bounds how much more one far above the mean is cut.
+	maxWeight = 2.0
 	// smallPeak is how much in flight tells what latency there is without load.
 	smallPeak = 16
 	// allowance is how far above the least latency the band reaches at least,
@@ -37,7 +42,7 @@
 	ownBand = band{0.8, 0.85}
 	// lentBand is for organisations above theirs, so that what they borrow
 	// hardly slows the others.
-	lentBand = band{0.7, 0.74}
+	lentBand = band{0.69, 0.73}
 )
 
 // limit bounds what is in flight and follows the latencies seen.
@@ -56,13 +61,16 @@
 
 // adapt moves the limit after a window in which nine in ten latencies were
 // below a part of their target. least is what that part is with little in
-// flight, or 0; where the target is out of reach, the band lies above it.
-func (l *limit) adapt(ratio, least float64) {
+// flight, or 0; where the target is out of reach, the band lies above it. mean is
+// the mean limit of all daemons: one above it is cut by more, one below by less,
+// so that the limits come together.
+func (l *limit) adapt(ratio, least, mean float64) {
 	ratio /= l.band.scale(least)
 	switch {
 	case ratio > l.band.high:
 		l.growing = false
-		l.value = max(minLimit, min(l.value, float64(l.peak))*max(maxCut, l.band.high/ratio))
+		cut := max(maxCut, math.Pow(l.band.high/ratio, min(maxWeight, max(1/maxWeight, l.value/mean))))
+		l.value = max(minLimit, min(l.value, float64(l.peak))*cut)
 	case ratio < l.band.low && l.short && l.growing:
 		l.value *= 2
 	case ratio < l.band.low && l.short:
