--- a/internal/control/dutykeeper/dutykeeper.go
+++ b/internal/control/dutykeeper/dutykeeper.go
@@ -9,10 +9,12 @@
 package dutykeeper
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +22,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
 
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
@@ -38,6 +41,8 @@
 	// renewals is the number of renewals within a lease's time to live.
 	renewals   = 3
 	tickPeriod = 100 * time.Millisecond
+	// parallelism bounds the duties whose calls are made side by side.
+	parallelism = 16
 	// tryPeriod is the time between two tries for a duty that another holds.
 	tryPeriod = 500 * time.Millisecond
 	// guard is how long before the lease's end its holder stops to act.
@@ -49,7 +54,7 @@
 // Record is what the store holds of a duty.
 type Record struct {
 	Holder string `json:"holder"`
-	// Epoch grows by one with each new holder, and is the fencing number.
+	// Epoch grows with each new holder, and is the fencing number.
 	Epoch uint64 `json:"epoch"`
 }
 
@@ -157,15 +162,23 @@
 func (k *Keeper) Tick(ctx context.Context) {
 	members := k.cfg.Members()
 	wanted := make(map[string]bool)
+	// A slow store must not make one duty wait for the calls of another.
+	var g errgroup.Group
+	g.SetLimit(parallelism)
 	for _, duty := range k.cfg.Duties() {
 		wanted[duty] = true
-		mine := Owner(duty, members) == k.cfg.Self
-		if h := k.get(duty); h != nil {
-			k.keep(ctx, duty, h, mine)
-		} else if mine {
-			k.try(ctx, duty)
-		}
+		g.Go(func() error {
+			mine := Owner(duty, members) == k.cfg.Self
+			if h := k.get(duty); h != nil {
+				k.keep(ctx, duty, h, mine)
+			} else if mine {
+				k.try(ctx, duty)
+			}
+			return nil
+		})
 	}
+	// Failures are counted, and the calls are made again.
+	_ = g.Wait()
 	k.mu.Lock()
 	var unwanted []string
 	for duty := range k.held {
@@ -236,10 +249,15 @@
 // try takes a duty if nobody holds it.
 func (k *Keeper) try(ctx context.Context, duty string) {
 	now := k.cfg.Now()
-	if now.Sub(k.tried[duty]) < tryPeriod {
+	k.mu.Lock()
+	recent := now.Sub(k.tried[duty]) < tryPeriod
+	if !recent {
+		k.tried[duty] = now
+	}
+	k.mu.Unlock()
+	if recent {
 		return
 	}
-	k.tried[duty] = now
 	if _, err := k.cfg.Store.Get(ctx, livePrefix+duty); !errors.Is(err, storer.ErrNotFound) {
 		return
 	}
@@ -269,7 +287,8 @@
 	if err != nil {
 		return nil, k.abandon(ctx, lease, err)
 	}
-	r = Record{Holder: k.cfg.Self, Epoch: r.Epoch + 1}
+	// A store that was set back has an older epoch; the clock leads past it.
+	r = Record{Holder: k.cfg.Self, Epoch: max(r.Epoch+1, uint64(max(0, k.cfg.Now().Unix())))}
 	b, err := json.Marshal(r)
 	if err != nil {
 		return nil, k.abandon(ctx, lease, err)
@@ -310,15 +329,23 @@
 // Owner returns the living member to which a duty falls by rendezvous hashing,
 // or nothing.
 func Owner(duty string, members []viewer.Member) string {
-	var best string
-	var top uint64
+	ranked := Rank(duty, members)
+	if len(ranked) == 0 {
+		return ""
+	}
+	return ranked[0].Name
+}
+
+// Rank returns the living members in the order in which a duty falls to them.
+func Rank(duty string, members []viewer.Member) []viewer.Member {
+	hashes := make(map[string]uint64, len(members))
+	var living []viewer.Member
 	for _, m := range members {
-		if m.State != viewer.StateAlive {
-			continue
-		}
-		if h := xxhash.Sum64String(duty + "\x00" + m.Name); best == "" || h > top {
-			best, top = m.Name, h
+		if m.State == viewer.StateAlive {
+			hashes[m.Name] = xxhash.Sum64String(duty + "\x00" + m.Name)
+			living = append(living, m)
 		}
 	}
-	return best
+	slices.SortFunc(living, func(a, b viewer.Member) int { return cmp.Compare(hashes[b.Name], hashes[a.Name]) })
+	return living
 }
--- a/internal/traffic/recorder/fakes_test.go
+++ b/internal/traffic/recorder/fakes_test.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"pomelotiller/internal/fleet/messenger"
 	"pomelotiller/internal/platform/storer"
 	"pomelotiller/internal/traffic/refuser"
 )
@@ -22,6 +21,8 @@
 	revision uint64
 	entries  map[string]storer.Entry
 	down     bool
+	// silent holds up every call until its caller gives up.
+	silent bool
 	// lose and delay are the numbers of coming writes whose answer is lost
 	// after they took effect, and of records that take effect only late.
 	lose, delay int
@@ -42,16 +43,20 @@
 	f(s)
 }
 
-func (s *fakeStore) away() bool {
+func (s *fakeStore) away(ctx context.Context) bool {
 	time.Sleep(callTime)
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.down
+	down, silent := s.down, s.silent
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+	}
+	return down || silent
 }
 
 // Get implements storer.Store.
-func (s *fakeStore) Get(_ context.Context, key string) (storer.Entry, error) {
-	if s.away() {
+func (s *fakeStore) Get(ctx context.Context, key string) (storer.Entry, error) {
+	if s.away(ctx) {
 		return storer.Entry{}, storer.ErrUnavailable
 	}
 	s.mu.Lock()
@@ -63,8 +68,8 @@
 }
 
 // Swap implements storer.Store.
-func (s *fakeStore) Swap(_ context.Context, w storer.Write) (storer.Entry, error) {
-	if s.away() {
+func (s *fakeStore) Swap(ctx context.Context, w storer.Write) (storer.Entry, error) {
+	if s.away(ctx) {
 		return storer.Entry{}, storer.ErrUnsettled
 	}
 	s.mu.Lock()
@@ -105,8 +110,8 @@
 }
 
 // List implements storer.Store.
-func (s *fakeStore) List(_ context.Context, prefix string) (storer.Page, error) {
-	if s.away() {
+func (s *fakeStore) List(ctx context.Context, prefix string) (storer.Page, error) {
+	if s.away(ctx) {
 		return storer.Page{}, storer.ErrUnavailable
 	}
 	s.mu.Lock()
@@ -126,8 +131,8 @@
 }
 
 // Grant implements storer.Store.
-func (s *fakeStore) Grant(_ context.Context, ttl time.Duration) (storer.Lease, error) {
-	if s.away() {
+func (s *fakeStore) Grant(ctx context.Context, ttl time.Duration) (storer.Lease, error) {
+	if s.away(ctx) {
 		return storer.Lease{}, storer.ErrUnavailable
 	}
 	return storer.Lease{ID: "lease", TTL: ttl}, nil
@@ -215,6 +220,12 @@
 	return Report{State: "absent"}, nil
 }
 
+func (s *fakeServices) ran(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[key] > 0
+}
+
 // run runs an order once, and answers after some time.
 func (s *fakeServices) run(key string, took time.Duration) {
 	s.mu.Lock()
@@ -264,147 +275,3 @@
 	defer s.mu.Unlock()
 	return Answer{Status: http.StatusOK, Body: s.answers[o.Key]}, nil
 }
-
-// gate stands between a daemon and the world: while the daemon is paused each
-// call blocks on its way out and on its way back, and once it is killed none
-// has an effect or an outcome.
-type gate struct {
-	mu     sync.Mutex
-	killed bool
-	wake   chan struct{}
-}
-
-var errKilled = errors.New("the daemon is killed")
-
-func (g *gate) pass() error {
-	for {
-		g.mu.Lock()
-		killed, wake := g.killed, g.wake
-		g.mu.Unlock()
-		if killed {
-			return errKilled
-		}
-		if wake == nil {
-			return nil
-		}
-		<-wake
-	}
-}
-
-// pause holds up the daemon until the returned function is called.
-func (g *gate) pause() func() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.wake != nil {
-		return func() {}
-	}
-	wake := make(chan struct{})
-	g.wake = wake
-	return sync.OnceFunc(func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.wake = nil
-		close(wake)
-	})
-}
-
-func (g *gate) kill() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.killed = true
-}
-
-// through makes a call through the gate.
-func through[T any](g *gate, call func() (T, error)) (T, error) {
-	var none T
-	if err := g.pass(); err != nil {
-		return none, err
-	}
-	v, err := call()
-	if err := g.pass(); err != nil {
-		return none, err
-	}
-	return v, err
-}
-
-type gatedStore struct {
-	*fakeStore
-	g *gate
-}
-
-// Get implements storer.Store.
-func (s gatedStore) Get(ctx context.Context, key string) (storer.Entry, error) {
-	return through(s.g, func() (storer.Entry, error) { return s.fakeStore.Get(ctx, key) })
-}
-
-// Swap implements storer.Store.
-func (s gatedStore) Swap(ctx context.Context, w storer.Write) (storer.Entry, error) {
-	return through(s.g, func() (storer.Entry, error) { return s.fakeStore.Swap(ctx, w) })
-}
-
-// List implements storer.Store.
-func (s gatedStore) List(ctx context.Context, prefix string) (storer.Page, error) {
-	return through(s.g, func() (storer.Page, error) { return s.fakeStore.List(ctx, prefix) })
-}
-
-// Grant implements storer.Store.
-func (s gatedStore) Grant(ctx context.Context, ttl time.Duration) (storer.Lease, error) {
-	return through(s.g, func() (storer.Lease, error) { return s.fakeStore.Grant(ctx, ttl) })
-}
-
-type gatedServices struct {
-	*fakeServices
-	g *gate
-}
-
-// Connect implements Services.
-func (s gatedServices) Connect(ctx context.Context, address string) (Sender, error) {
-	sender, err := through(s.g, func() (Sender, error) { return s.fakeServices.Connect(ctx, address) })
-	if err != nil {
-		return nil, err
-	}
-	return gatedSender{sender, s.g}, nil
-}
-
-// Status implements Services.
-func (s gatedServices) Status(ctx context.Context, address, path string) (Report, error) {
-	return through(s.g, func() (Report, error) { return s.fakeServices.Status(ctx, address, path) })
-}
-
-type gatedSender struct {
-	Sender
-	g *gate
-}
-
-// Send implements Sender.
-func (s gatedSender) Send(ctx context.Context, o Order, h http.Header) (Answer, error) {
-	a, err := through(s.g, func() (Answer, error) { return s.Sender.Send(ctx, o, h) })
-	if errors.Is(err, errKilled) {
-		err = &SendError{Run: refuser.Unknown, Err: err}
-	}
-	return a, err
-}
-
-// fakePeers carries calls between the daemons of a fleet.
-type fakePeers struct {
-	fleet *fakeFleet
-	name  string
-}
-
-// Handle implements Peers.
-func (p fakePeers) Handle(kind string, h messenger.Handler) {
-	p.fleet.mu.Lock()
-	defer p.fleet.mu.Unlock()
-	p.fleet.handlers[p.name+" "+kind] = h
-}
-
-// Call implements Peers. Daemons are called by name.
-func (p fakePeers) Call(ctx context.Context, addr, kind string, body []byte) ([]byte, error) {
-	from, to, h := p.fleet.route(p.name, addr, kind)
-	if h == nil {
-		return nil, errKilled
-	}
-	return through(from, func() ([]byte, error) {
-		return through(to, func() ([]byte, error) { return h(ctx, body) })
-	})
-}
