--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -223,6 +223,7 @@
 func (g *Gossiper) note(k rumorKey) {
 	g.rumors.add(k)
 	g.changed = true
+	g.neighbours.stale = g.neighbours.stale || k.member != ""
 	select {
 	case g.wake <- struct{}{}:
 	default:
--- a/internal/fleet/gossiper/neighbor.go
+++ b/internal/fleet/gossiper/neighbor.go
@@ -29,6 +29,10 @@
 	addresses []string
 	// dropped are former neighbours that are still to be told so.
 	dropped map[string]int
+	// stale is set when members changed since they were chosen, in the period
+	// of rotation epoch.
+	stale bool
+	epoch int64
 }
 
 // farewells is the number of times that a former neighbour is told.
@@ -62,20 +66,18 @@
 
 // chooseNeighbours ranks the members by rendezvous hashing, so that the choice
 // changes little when members come and go: some of the own failure domain, some
-// of others, and some that change from time to time.
+// of others, and some that change from time to time. It ranks anew only after a
+// change, since the work grows with the fleet.
 func (g *Gossiper) chooseNeighbours(now time.Time) []string {
-	var present []*member
-	for _, m := range g.members {
-		if m.present() {
-			present = append(present, m)
-		}
+	epoch := now.UnixNano() / int64(rotation)
+	if !g.neighbours.stale && epoch == g.neighbours.epoch {
+		return g.neighbours.addresses
 	}
-	epoch := strconv.FormatInt(now.UnixNano()/int64(rotation), 10)
-	slices.SortFunc(present, func(a, b *member) int { return cmp.Compare(g.score("", a), g.score("", b)) })
+	g.neighbours.stale, g.neighbours.epoch = false, epoch
 	var out []string
 	seen := map[string]bool{g.self.Domain: true}
 	local, remote := 0, 0
-	for _, m := range present {
+	for _, m := range g.ranked("") {
 		switch {
 		case m.Domain == g.self.Domain && local < localNeighbours:
 			local++
@@ -87,8 +89,7 @@
 		}
 		out = append(out, m.Peers)
 	}
-	slices.SortFunc(present, func(a, b *member) int { return cmp.Compare(g.score(epoch, a), g.score(epoch, b)) })
-	for _, m := range present {
+	for _, m := range g.ranked(strconv.FormatInt(epoch, 10)) {
 		if len(out) < g.cfg.Fanout && !slices.Contains(out, m.Peers) {
 			out = append(out, m.Peers)
 		}
@@ -96,6 +97,26 @@
 	return out[:min(len(out), g.cfg.Fanout)]
 }
 
+// ranked returns the members present in the order of their scores.
+func (g *Gossiper) ranked(salt string) []*member {
+	type scored struct {
+		*member
+		score uint64
+	}
+	var all []scored
+	for _, m := range g.members {
+		if m.present() {
+			all = append(all, scored{m, g.score(salt, m)})
+		}
+	}
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	out := make([]*member, len(all))
+	for i, s := range all {
+		out[i] = s.member
+	}
+	return out
+}
+
 func (g *Gossiper) score(salt string, m *member) uint64 {
 	return xxhash.Sum64String(g.self.Name + "\x00" + salt + "\x00" + m.Name)
 }
