--- a/internal/control/dutykeeper/dutykeeper.go
+++ b/internal/control/dutykeeper/dutykeeper.go
@@ -9,10 +9,12 @@
 package dutykeeper
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,7 +51,7 @@
 // Record is what the store holds of a duty.
 type Record struct {
 	Holder string `json:"holder"`
-	// Epoch grows by one with each new holder, and is the fencing number.
+	// Epoch grows with each new holder, and is the fencing number.
 	Epoch uint64 `json:"epoch"`
 }
 
@@ -269,7 +271,8 @@
 	if err != nil {
 		return nil, k.abandon(ctx, lease, err)
 	}
-	r = Record{Holder: k.cfg.Self, Epoch: r.Epoch + 1}
+	// A store that was set back has an older epoch; the clock leads past it.
+	r = Record{Holder: k.cfg.Self, Epoch: max(r.Epoch+1, uint64(max(0, k.cfg.Now().Unix())))}
 	b, err := json.Marshal(r)
 	if err != nil {
 		return nil, k.abandon(ctx, lease, err)
@@ -310,15 +313,23 @@
 // Owner returns the living member to which a duty falls by rendezvous hashing,
 // or nothing.
 func Owner(duty string, members []viewer.Member) string {
-	var best string
-	var top uint64
+	ranked := Rank(duty, members)
+	if len(ranked) == 0 {
+		return ""
+	}
+	return ranked[0].Name
+}
+
+// Rank returns the living members in the order in which a duty falls to them.
+func Rank(duty string, members []viewer.Member) []viewer.Member {
+	hashes := make(map[string]uint64, len(members))
+	var living []viewer.Member
 	for _, m := range members {
-		if m.State != viewer.StateAlive {
-			continue
-		}
-		if h := xxhash.Sum64String(duty + "\x00" + m.Name); best == "" || h > top {
-			best, top = m.Name, h
+		if m.State == viewer.StateAlive {
+			hashes[m.Name] = xxhash.Sum64String(duty + "\x00" + m.Name)
+			living = append(living, m)
 		}
 	}
-	return best
+	slices.SortFunc(living, func(a, b viewer.Member) int { return cmp.Compare(hashes[b.Name], hashes[a.Name]) })
+	return living
 }
--- a/internal/control/mover/observer.go
+++ b/internal/control/mover/observer.go
@@ -3,13 +3,9 @@
 import (
 	"errors"
 	"fmt"
-	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"pomelotiller/internal/config/loader"
-	"pomelotiller/internal/fleet/gossiper"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/platform/inferrer"
 	"pomelotiller/internal/traffic/relayer"
@@ -35,9 +31,6 @@
 	// as the same event, such as the death of its host.
 	breakTime = time.Second
 
-	publishPeriod    = 250 * time.Millisecond
-	publishPerMember = 25 * time.Millisecond
-
 	defaultErrorLimit = 0.01
 	defaultSlowLimit  = 0.05
 	defaultShortLimit = 0.2
@@ -190,7 +183,8 @@
 	own.Domain = f.cfg.Domain
 	tallies := []tally{own}
 	domains := map[string]bool{own.Domain: true}
-	for _, t := range m.peers {
+	for _, p := range m.peers {
+		t := p.Tally
 		if t.Run == own.Run {
 			tallies = append(tallies, t)
 			domains[t.Domain] = true
@@ -255,7 +249,8 @@
 		return ""
 	}
 	total, stage := m.own.Total, m.own.Stage
-	for _, t := range m.peers {
+	for _, p := range m.peers {
+		t := p.Tally
 		if t.Run == m.record.Run {
 			total = total.Plus(t.Total)
 		}
@@ -280,41 +275,11 @@
 		return Pair{}
 	}
 	sum := m.own.Total
-	for _, t := range m.peers {
+	for _, p := range m.peers {
+		t := p.Tally
 		if t.Run == m.record.Run {
 			sum = sum.Plus(t.Total)
 		}
 	}
 	return sum
 }
-
-// outcomesItem returns the item that spreads the daemon's own outcomes, if it
-// is time: at once after a fault of the new version, else at a period that
-// grows with the fleet, so that the fleet's traffic does not.
-func (f *Follower) outcomesItem(name string, m *follow, now time.Time) (gossiper.Item, bool) {
-	if m.own.Total == m.spread.Total && m.own.Run == m.spread.Run {
-		return gossiper.Item{}, false
-	}
-	period := max(publishPeriod, time.Duration(f.cfg.Members())*publishPerMember)
-	news := faults(m.own.Total.New) != faults(m.spread.Total.New) && now.Sub(m.published) >= publishPeriod
-	if now.Sub(m.published) < period && !news {
-		return gossiper.Item{}, false
-	}
-	own := m.own
-	own.Domain = f.cfg.Domain
-	b, err := cbor.Marshal(own)
-	if err != nil {
-		return gossiper.Item{}, false
-	}
-	// A daemon that starts anew counts from zero, but on a later clock.
-	m.version = max(m.version+1, uint64(now.UnixNano()))
-	m.published, m.spread = now, m.own
-	return gossiper.Item{Topic: topicOutcomes, Key: name + "/" + f.cfg.Self, Version: m.version, Value: b}, true
-}
-
-func faults(c Counts) uint64 { return c.Errors + c.First + c.Token + c.Short }
-
-func splitKey(key string) (move, daemon string) {
-	move, daemon, _ = strings.Cut(key, "/")
-	return move, daemon
-}
--- a/internal/fleet/gossiper/neighbor.go
+++ b/internal/fleet/gossiper/neighbor.go
@@ -64,61 +64,94 @@
 	return slices.Clone(next), append(others, g.chooseContacts(now)...)
 }
 
-// chooseNeighbours ranks the members by rendezvous hashing, so that the choice
-// changes little when members come and go: some of the own failure domain, some
-// of others, and some that change from time to time. It ranks anew only after a
-// change, since the work grows with the fleet.
+// chooseNeighbours returns the addresses of the members that heartbeats go to:
+// those chosen by fixedNeighbours, and some that change from time to time. It
+// ranks anew only after a change, since the work grows with the fleet.
 func (g *Gossiper) chooseNeighbours(now time.Time) []string {
 	epoch := now.UnixNano() / int64(rotation)
 	if !g.neighbours.stale && epoch == g.neighbours.epoch {
 		return g.neighbours.addresses
 	}
 	g.neighbours.stale, g.neighbours.epoch = false, epoch
+	var present []record
+	for _, m := range g.members {
+		if m.present() {
+			present = append(present, m.record)
+		}
+	}
 	var out []string
-	seen := map[string]bool{g.self.Domain: true}
+	for _, r := range fixedNeighbours(g.self, present) {
+		out = append(out, r.Peers)
+	}
+	for _, r := range ranked(g.self, strconv.FormatInt(epoch, 10), present) {
+		if len(out) < g.cfg.Fanout && !slices.Contains(out, r.Peers) {
+			out = append(out, r.Peers)
+		}
+	}
+	return out[:min(len(out), g.cfg.Fanout)]
+}
+
+// fixedNeighbours returns the neighbours that a daemon keeps while members stay:
+// some of its own failure domain and some of others.
+func fixedNeighbours(self record, present []record) []record {
+	var out []record
+	seen := map[string]bool{self.Domain: true}
 	local, remote := 0, 0
-	for _, m := range g.ranked("") {
+	for _, r := range ranked(self, "", present) {
 		switch {
-		case m.Domain == g.self.Domain && local < localNeighbours:
+		case r.Domain == self.Domain && local < localNeighbours:
 			local++
-		case !seen[m.Domain] && remote < remoteNeighbours:
-			seen[m.Domain] = true
+		case !seen[r.Domain] && remote < remoteNeighbours:
+			seen[r.Domain] = true
 			remote++
 		default:
 			continue
 		}
-		out = append(out, m.Peers)
-	}
-	for _, m := range g.ranked(strconv.FormatInt(epoch, 10)) {
-		if len(out) < g.cfg.Fanout && !slices.Contains(out, m.Peers) {
-			out = append(out, m.Peers)
-		}
+		out = append(out, r)
 	}
-	return out[:min(len(out), g.cfg.Fanout)]
+	return out
 }
 
-// ranked returns the members present in the order of their scores.
-func (g *Gossiper) ranked(salt string) []*member {
+// ranked sorts members by rendezvous hashing, so that a choice of the first ones
+// changes little when members come and go.
+func ranked(self record, salt string, present []record) []record {
 	type scored struct {
-		*member
+		record
 		score uint64
 	}
-	var all []scored
-	for _, m := range g.members {
-		if m.present() {
-			all = append(all, scored{m, g.score(salt, m)})
-		}
+	all := make([]scored, 0, len(present))
+	for _, r := range present {
+		all = append(all, scored{r, xxhash.Sum64String(self.Name + "\x00" + salt + "\x00" + r.Name)})
 	}
 	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
-	out := make([]*member, len(all))
+	out := make([]record, len(all))
 	for i, s := range all {
-		out[i] = s.member
+		out[i] = s.record
 	}
 	return out
 }
 
-func (g *Gossiper) score(salt string, m *member) uint64 {
-	return xxhash.Sum64String(g.self.Name + "\x00" + salt + "\x00" + m.Name)
+// expects reports whether a member that has just started chooses this daemon as
+// a neighbour, so that its silence counts before its first heartbeat has come. A
+// leaving daemon is nobody's neighbour. In a large fleet a daemon that has itself
+// just started cannot tell.
+func (g *Gossiper) expects(r record, now time.Time) bool {
+	if g.self.State != rankAlive {
+		return false
+	}
+	if len(g.members) <= g.cfg.Fanout {
+		return true
+	}
+	if now.Sub(g.started) < g.cfg.SuspectAfter {
+		return false
+	}
+	present := []record{g.self}
+	for _, m := range g.members {
+		if m.present() && m.Name != r.Name {
+			present = append(present, m.record)
+		}
+	}
+	return slices.ContainsFunc(fixedNeighbours(r, present), func(n record) bool { return n.Name == g.self.Name })
 }
 
 // chooseContacts returns addresses at which no live member is known: seeds, and
--- a/internal/fleet/viewer/viewer.go
+++ b/internal/fleet/viewer/viewer.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/platform/lister"
@@ -31,6 +32,8 @@
 	Operators   string `json:"operators" cbor:"4,keyasint"`
 	State       State  `json:"state" cbor:"5,keyasint"`
 	Incarnation uint64 `json:"incarnation" cbor:"6,keyasint"`
+	// Boot is the incarnation with which the member's process started.
+	Boot uint64 `json:"boot" cbor:"9,keyasint"`
 	// Generation is the configuration in force at the member.
 	Generation uint64 `json:"generation" cbor:"7,keyasint"`
 	// Digest tells releases of the same generation apart.
@@ -50,6 +53,10 @@
 	// Running and Waiting are from the endpoint's last load report.
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
+	// WaitingTokens counts prompt tokens that wait to be computed.
+	WaitingTokens int `json:"waiting_tokens"`
+	// Reported is when the report was taken; zero if there was none.
+	Reported time.Time `json:"reported,omitzero"`
 }
 
 // Serves reports whether new work for a version may go to the endpoint.
--- a/internal/traffic/listener/service.go
+++ b/internal/traffic/listener/service.go
@@ -121,7 +121,8 @@
 		writeAnswer(w, *o.Answer)
 	case o.State == recorder.StateDone:
 		refuser.Write(w, &refuser.Refusal{
-			Status: http.StatusBadGateway, Title: "answer-too-large", Run: refuser.Ran, Detail: o.Reason,
+			Status: http.StatusBadGateway, Title: "answer-too-large", Run: refuser.Ran,
+			Detail: "the service ran the order; its answer is too large to be kept",
 		})
 	case !o.Ended():
 		replyJSON(w, http.StatusAccepted, newOrderView(o))
@@ -170,7 +171,7 @@
 		refuser.Write(w, err)
 		return
 	}
-	o, err := l.cfg.Recorder.Get(r.Context(), chi.URLParam(r, "id"))
+	o, err := l.cfg.Runner.Read(r.Context(), chi.URLParam(r, "id"))
 	if errors.Is(err, storer.ErrNotFound) || err == nil && o.Organisation != org.Name {
 		refuser.Write(w, &refuser.Refusal{Status: http.StatusNotFound, Title: "unknown-order", Detail: "no such order of this organisation"})
 		return
--- a/internal/traffic/recorder/adopter.go
+++ b/internal/traffic/recorder/adopter.go
@@ -13,11 +13,11 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/platform/storer"
-	"pomelotiller/internal/traffic/refuser"
 )
 
 const (
@@ -63,11 +63,12 @@
 	}
 }
 
-// forget drops the keys that were taken long ago.
+// forget drops the keys that were taken long ago, and counts the open orders.
 func (r *Runner) forget() {
 	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	metrics.GetOrRegisterGauge("orders_open", r.cfg.Registry).Update(int64(len(r.jobs)))
 	for id, t := range r.recent {
 		if now.Sub(t) > recentTime {
 			delete(r.recent, id)
@@ -79,8 +80,8 @@
 // this daemon is chosen for.
 func (r *Runner) adoptGone(ctx context.Context) {
 	for _, m := range r.cfg.View().Members {
-		owner := OwnerName(m.Name, m.Incarnation)
-		if r.dead(owner) && r.chosen(owner) == r.cfg.Name {
+		owner := OwnerName(m.Name, m.Boot)
+		if r.dead(owner) && !r.wasAdopted(owner) && r.chosen(owner) == r.cfg.Name {
 			r.adopt(ctx, owner, false)
 		}
 	}
@@ -129,33 +130,45 @@
 // dead reports whether an owner has been gone for long enough. A daemon that
 // runs again under the same name is another owner.
 func (r *Runner) dead(owner string) bool {
-	limit := time.Duration(0)
+	if owner == r.cfg.Recorder.cfg.Owner {
+		return false
+	}
+	grace := strangerTime
 	for _, m := range r.cfg.View().Members {
-		if OwnerName(m.Name, m.Incarnation) != owner {
-			continue
-		}
-		if m.State != viewer.StateGone {
-			limit = -1
-		} else {
-			limit = goneTime
+		switch {
+		case OwnerName(m.Name, m.Boot) != owner:
+			if ran, _, _ := strings.Cut(owner, "/"); ran == m.Name {
+				grace = 0 // The daemon was started anew.
+			}
+		case m.State == viewer.StateGone:
+			grace = goneTime
+		default:
+			r.present(owner)
+			return false
 		}
 	}
-	if limit == 0 {
-		limit = strangerTime
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if limit < 0 || owner == r.cfg.Recorder.cfg.Owner {
-		delete(r.absent, owner)
-		return false
-	}
-	now := r.now()
 	since, ok := r.absent[owner]
 	if !ok {
-		r.absent[owner] = now
-		return false
+		since = r.now()
+		r.absent[owner] = since
 	}
-	return now.Sub(since) >= limit
+	return r.now().Sub(since) >= grace
+}
+
+// present notes that an owner is there, maybe again.
+func (r *Runner) present(owner string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.absent, owner)
+	delete(r.adopted, owner)
+}
+
+func (r *Runner) wasAdopted(owner string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.adopted[owner]
 }
 
 // adopt takes a journal's orders to their end, in the background.
@@ -274,21 +287,3 @@
 }
 
 var errOwnerLost = errors.New("the daemon that sent the order was lost")
-
-// storeRefusal refuses an order that could not be recorded. It was not sent by
-// this daemon, and none of its records allows another to send it; but a key
-// that this daemon has seen before may have run then.
-func (r *Runner) storeRefusal(o Order, err error) error {
-	refusal := &refuser.Refusal{
-		Status: 503, Title: "store-unavailable", Run: refuser.NotRun, Err: err,
-		RetryAfter: r.cfg.Recorder.cfg.Outage.RetryAfter(r.now()),
-		Detail:     "the order could not be recorded, and this request was not run",
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if _, seen := r.recent[o.ID]; seen {
-		refusal.Run = refuser.Unknown
-		refusal.Detail = "the order cannot be read at present, and an earlier request with its key may have run; read /v1/orders/" + o.ID
-	}
-	return refusal
-}
--- a/internal/traffic/recorder/carry.go
+++ b/internal/traffic/recorder/carry.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -41,6 +42,8 @@
 
 // connect chooses a service and connects to it; nothing of the order is sent.
 func (r *Runner) connect(ctx context.Context, o Order, exclude map[string]bool) link {
+	ctx, span := r.cfg.Tracer.Start(ctx, "route")
+	defer span.End()
 	v := r.cfg.View()
 	route, ok := v.Set.Route(o.Route)
 	if !ok {
@@ -202,6 +205,10 @@
 		return
 	}
 	meter.Count(r.cfg.Registry, 1, "orders_ended_total", "state", string(s.Next.State))
+	if s.Next.State == StateUnknown {
+		// A logger that fails has nowhere to say so.
+		_ = level.Warn(r.cfg.Logger).Log("msg", "order unknown", "order", o.ID, "route", o.Route, "endpoint", o.Endpoint, "reason", s.Next.Reason)
+	}
 	grace := time.AfterFunc(answerGrace, func() { j.finish(s.Next) })
 	defer grace.Stop()
 	if final, ok := r.settle(ctx, s); ok {
@@ -257,7 +264,7 @@
 	if !s.Next.Ended() {
 		return s, false
 	}
-	sameAttempt := current.State == StateDispatched && current.Attempt == s.Next.Attempt
+	sameAttempt := current.State == StateDispatched && current.Owner == s.Next.Owner && current.Attempt == s.Next.Attempt
 	superseded := current.State == StateUnknown && s.Next.State == StateDone
 	expired := current.ID == ""
 	if s.Expect == current.revision || !sameAttempt && !superseded && !expired {
