Ask a member before its expected silence counts

Cause, seen in TestWatchesAreFew (7 watches waiting) and then in TestStartSuspectsNobody: a daemon that guesses that a newcomer will send it heartbeats suspected it when the newcomer chose others; the refutation came within 10 ms, but a third watcher had started. Such a member is now asked after half the silence. Datagrams to a target were dropped while one was on its way; up to four may be now. go test -count=2 ./gossiper passes, TestNewcomerDies among them.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -25,6 +25,8 @@
 	datagramKind = "gossip"
 	// minGap is the shortest time between two rounds, also for new changes.
 	minGap = 40 * time.Millisecond
+	// maxSending bounds the datagrams that wait for one handshake.
+	maxSending = 4
 
 	defaultPeriod       = 250 * time.Millisecond
 	defaultFanout       = 6
@@ -136,8 +138,9 @@
 	exchanged  time.Time
 	contacted  time.Time
 	exchanging bool
-	sending    map[string]bool
+	sending    map[string]int
 	restarted  []string
+	asked      []string
 }
 
 // New returns a gossiper that sends nothing before Run.
@@ -150,7 +153,7 @@
 		rand: rand.New(rand.NewPCG(xxhash.Sum64String(cfg.Self.Name), cfg.Self.Incarnation)),
 		self: newRecord(cfg.Self), members: make(map[string]*member),
 		items: make(map[itemKey]*item), subs: make(map[string][]func(Item)),
-		rumors: newRumors(), sending: make(map[string]bool),
+		rumors: newRumors(), sending: make(map[string]int),
 		started: now, lastRound: now, refreshed: now, exchanged: now,
 	}
 	g.rumors.add(rumorKey{member: cfg.Self.Name})
@@ -243,7 +246,8 @@
 	header := g.packHeader(flagOnce)
 	partner := g.choosePartner(now, others)
 	changed, restarted := g.changed, g.restarted
-	g.changed, g.restarted = false, nil
+	asked, question := g.asked, g.packHeader(flagOnce|flagAsk)
+	g.changed, g.restarted, g.asked = false, nil, nil
 	g.lastRound = now
 	g.mu.Unlock()
 	if changed && g.cfg.Changed != nil {
@@ -262,6 +266,9 @@
 	for _, addr := range others {
 		g.send(ctx, addr, header)
 	}
+	for _, addr := range asked {
+		g.send(ctx, addr, question)
+	}
 	if partner != "" {
 		go g.exchange(ctx, partner)
 	}
@@ -279,12 +286,14 @@
 	}
 }
 
-// send passes a datagram on without waiting. A target to which an earlier one
-// is still under way, because its handshake is not done, gets none.
+// send passes a datagram on without waiting. A target to which several are still
+// under way, because its handshake is not done, gets none.
 func (g *Gossiper) send(ctx context.Context, addr string, body []byte) {
 	g.mu.Lock()
-	busy := g.sending[addr]
-	g.sending[addr] = true
+	busy := g.sending[addr] >= maxSending
+	if !busy {
+		g.sending[addr]++
+	}
 	g.mu.Unlock()
 	if busy {
 		return
@@ -292,7 +301,9 @@
 	go func() {
 		err := g.cfg.Sender.Send(ctx, addr, datagramKind, body)
 		g.mu.Lock()
-		delete(g.sending, addr)
+		if g.sending[addr]--; g.sending[addr] == 0 {
+			delete(g.sending, addr)
+		}
 		g.mu.Unlock()
 		if err != nil {
 			g.count("gossip_send_failures_total", 1)
--- a/internal/fleet/gossiper/member.go
+++ b/internal/fleet/gossiper/member.go
@@ -111,7 +111,10 @@
 	// direct is set while the member's heartbeats come here, the last at heard,
 	// or are about to.
 	direct bool
-	heard  time.Time
+	// expected is set while direct rests on a guess at the member's choice of
+	// neighbours. It is asked before its silence counts.
+	expected bool
+	heard    time.Time
 	// since is when the state was taken up.
 	since time.Time
 	// advanced is when the member last showed that it lives.
@@ -167,6 +170,7 @@
 	if next.Boot != old.Boot {
 		old.booted, old.spread = now, false
 		old.direct, old.heard = g.expects(next, now), now
+		old.expected = old.direct
 		g.restarted = append(g.restarted, next.Peers)
 	}
 	if next.State != old.State {
@@ -186,6 +190,7 @@
 	m := &member{record: r, since: now, advanced: now, booted: now, heard: now}
 	g.members[r.Name] = m
 	m.direct = g.expects(r, now)
+	m.expected = m.direct
 	g.logState(r.Name, "unknown", r.State.state())
 	g.note(rumorKey{member: r.Name})
 }
@@ -212,6 +217,9 @@
 	for name, m := range g.members {
 		silent := m.direct && now.Sub(m.heard) > g.cfg.SuspectAfter || now.Sub(m.advanced) > stale
 		lasted := now.Sub(m.since)
+		if m.expected && now.Sub(m.heard) > g.cfg.SuspectAfter/2 {
+			g.asked = append(g.asked, m.Peers)
+		}
 		switch {
 		case m.State == rankGone && lasted > g.cfg.ForgetAfter:
 			delete(g.members, name)
--- a/internal/fleet/gossiper/membership_test.go
+++ b/internal/fleet/gossiper/membership_test.go
@@ -193,6 +193,23 @@
 	await(t, time.Second, "gone known", func() bool { return s.knows(name(4), viewer.StateGone) })
 }
 
+// TestStartSuspectsNobody starts fleets at once and staggered. A daemon that is not
+// yet sure whose heartbeats will come must not suspect their senders.
+func TestStartSuspectsNobody(t *testing.T) {
+	for _, gap := range []time.Duration{0, 5, 20, 100, 1000} {
+		t.Run(fmt.Sprint(gap*time.Millisecond), func(t *testing.T) {
+			bubble(t, func(t *testing.T, ctx context.Context) {
+				s := &scene{fabric: newFabric(1), ctx: ctx}
+				for i := range fleetSize {
+					s.nodes = append(s.nodes, s.start(ctx, i, 1))
+					time.Sleep(gap * time.Millisecond)
+				}
+				s.never(t, 10*time.Second, viewer.StateSuspected)
+			})
+		})
+	}
+}
+
 // TestNewcomerDies kills daemons so soon after their start that their heartbeats
 // have hardly begun.
 func TestNewcomerDies(t *testing.T) {
--- a/internal/fleet/gossiper/rumor.go
+++ b/internal/fleet/gossiper/rumor.go
@@ -38,6 +38,9 @@
 	flagOnce = 1 << iota
 	// flagReply marks an answer, which gets none itself.
 	flagReply
+	// flagAsk wants an answer, whether the receiver's heartbeats come regularly
+	// or not.
+	flagAsk
 )
 
 // packet is the body of one datagram: the sender's own record and changes, each
@@ -257,6 +260,9 @@
 		addr = known.Peers
 	}
 	start := (stranger || reply != nil) && addr != "" && g.startExchange(now)
+	if reply == nil && p.Flags&flagAsk != 0 {
+		reply = g.packHeader(flagReply)
+	}
 	g.mu.Unlock()
 	deliver(deliveries)
 	if reply != nil && p.Flags&flagReply == 0 {
@@ -277,11 +283,16 @@
 	m.heard, m.advanced = now, now
 	switch {
 	case p.Flags&flagReply != 0:
+		// It lives, and sends its heartbeats to others.
+		m.direct = m.direct && !m.expected
+		m.expected = false
+	case p.Flags&flagAsk != 0:
 	case p.Flags&flagOnce != 0:
 		// A former neighbour says farewell, or a newcomer says hello.
 		m.direct = m.direct && g.expects(m.record, now)
+		m.expected = m.direct
 	default:
-		m.direct = true
+		m.direct, m.expected = true, false
 	}
 	if m.State <= p.From.State {
 		return nil
