Take fixed ports of restarted daemons from below the system's own

Cause: a daemon that a test starts again on its former port found it taken by another socket: TestConfigurationFaults failed twice with 'address already in use'.

After: such ports come from 20000 to 29999, which the system does not hand out.

--- a/internal/daemon/verifier/membership_links_test.go
+++ b/internal/daemon/verifier/membership_links_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,14 +73,28 @@
 	}
 }
 
+// The ports of daemons that are started again lie below those that the system
+// hands out by itself, so that nobody takes one in between.
+const (
+	firstPort = 20000
+	portCount = 10000
+)
+
+var nextPort atomic.Int64
+
+// freeUDP returns an address that is free now and stays free for the test.
 func freeUDP(t testing.TB) string {
 	t.Helper()
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		n := (int64(os.Getpid())*97 + nextPort.Add(1)) % portCount
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+n)
+		if c, err := net.ListenPacket("udp", addr); err == nil {
+			c.Close()
+			return addr
+		}
 	}
-	defer c.Close()
-	return c.LocalAddr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // cut separates the daemons of a failure domain from all others.
