--- a/internal/fleet/gossiper/neighbor.go
+++ b/internal/fleet/gossiper/neighbor.go
@@ -29,6 +29,10 @@
 	addresses []string
 	// dropped are former neighbours that are still to be told so.
 	dropped map[string]int
+	// stale is set when members changed since they were chosen, in the period
+	// of rotation epoch.
+	stale bool
+	epoch int64
 }
 
 // farewells is the number of times that a former neighbour is told.
@@ -61,8 +65,14 @@
 }
 
 // chooseNeighbours returns the addresses of the members that heartbeats go to:
-// those chosen by fixedNeighbours, and some that change from time to time.
+// those chosen by fixedNeighbours, and some that change from time to time. It
+// ranks anew only after a change, since the work grows with the fleet.
 func (g *Gossiper) chooseNeighbours(now time.Time) []string {
+	epoch := now.UnixNano() / int64(rotation)
+	if !g.neighbours.stale && epoch == g.neighbours.epoch {
+		return g.neighbours.addresses
+	}
+	g.neighbours.stale, g.neighbours.epoch = false, epoch
 	var present []record
 	for _, m := range g.members {
 		if m.present() {
@@ -73,8 +83,7 @@
 	for _, r := range fixedNeighbours(g.self, present) {
 		out = append(out, r.Peers)
 	}
-	epoch := strconv.FormatInt(now.UnixNano()/int64(rotation), 10)
-	for _, r := range ranked(g.self, epoch, present) {
+	for _, r := range ranked(g.self, strconv.FormatInt(epoch, 10), present) {
 		if len(out) < g.cfg.Fanout && !slices.Contains(out, r.Peers) {
 			out = append(out, r.Peers)
 		}
@@ -106,13 +115,26 @@
 // ranked sorts members by rendezvous hashing, so that a choice of the first ones
 // changes little when members come and go.
 func ranked(self record, salt string, present []record) []record {
-	score := func(r record) uint64 { return xxhash.Sum64String(self.Name + "\x00" + salt + "\x00" + r.Name) }
-	return slices.SortedFunc(slices.Values(present), func(a, b record) int { return cmp.Compare(score(a), score(b)) })
+	type scored struct {
+		record
+		score uint64
+	}
+	all := make([]scored, 0, len(present))
+	for _, r := range present {
+		all = append(all, scored{r, xxhash.Sum64String(self.Name + "\x00" + salt + "\x00" + r.Name)})
+	}
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	out := make([]record, len(all))
+	for i, s := range all {
+		out[i] = s.record
+	}
+	return out
 }
 
 // expects reports whether a member that has just started chooses this daemon as
 // a neighbour, so that its silence counts before its first heartbeat has come. A
-// leaving daemon is nobody's neighbour. In a large fleet a daemon that has itself just started cannot tell.
+// leaving daemon is nobody's neighbour. In a large fleet a daemon that has itself
+// just started cannot tell.
 func (g *Gossiper) expects(r record, now time.Time) bool {
 	if g.self.State != rankAlive {
 		return false
