--- a/internal/daemon/verifier/membership_faults_test.go
+++ b/internal/daemon/verifier/membership_faults_test.go
@@ -23,6 +23,7 @@
 		{"killed and restarted", killedAndRestarted},
 		{"cannot be reached but reaches others", halfReached},
 		{"failure domain cut off and rejoined", domainRejoins},
+		{"a fifth of packets lost", packetsLost},
 		{"stopped as planned", plannedStop},
 	} {
 		if !t.Run(step.name, func(t *testing.T) { step.run(t, w) }) {
@@ -86,6 +87,22 @@
 	w.awaitAlive(6)
 }
 
+func packetsLost(t *testing.T, w *network) {
+	for _, l := range w.peers {
+		l.Set(faulter.Behaviour{Mode: faulter.ModePass, Loss: 0.2})
+	}
+	for end := time.Now().Add(deathLimit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for _, m := range w.daemons[0].members(t) {
+			if m.State == viewer.StateGone {
+				t.Fatalf("got %s gone, want all members kept", m.Name)
+			}
+		}
+	}
+	w.awaitInForce(forceLimit, w.release(w.daemons[0], numberedSet(1)), w.daemons...)
+	w.heal()
+	w.awaitAlive(6)
+}
+
 func plannedStop(t *testing.T, w *network) {
 	d := w.daemons[4]
 	d.signal(t, syscall.SIGTERM)
