Rank members in one place, and only when they change

A profile of one among 81 showed copies of all members, sorted ten times a second, and rankings of all members for each duty. Reading on: each daemon ranked all members for each engine four times a second, and looked for every owner of orders among all members.

Ruled out: gossip itself (31 to 378 µs a round) and the store's calls, which stay at six reads a second.

After: package ranker ranks by rendezvous hashing for duties, probes, watchers, collectors and take-over, which had a copy each. Control reads the members of the view. Operators can profile a daemon at /debug/pprof on their port.

Conclusion: what grew with the square of the fleet is gone from these parts.

--- a/internal/control/dutykeeper/dutykeeper.go
+++ b/internal/control/dutykeeper/dutykeeper.go
@@ -9,21 +9,19 @@
 package dutykeeper
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"pomelotiller/internal/fleet/ranker"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/platform/storer"
@@ -168,7 +166,7 @@
 	for _, duty := range k.cfg.Duties() {
 		wanted[duty] = true
 		g.Go(func() error {
-			mine := Owner(duty, members) == k.cfg.Self
+			mine := ranker.First(duty, members) == k.cfg.Self
 			if h := k.get(duty); h != nil {
 				k.keep(ctx, duty, h, mine)
 			} else if mine {
@@ -325,27 +323,3 @@
 	// A logger that fails has nowhere to say so.
 	_ = level.Info(k.cfg.Logger).Log(fields...)
 }
-
-// Owner returns the living member to which a duty falls by rendezvous hashing,
-// or nothing.
-func Owner(duty string, members []viewer.Member) string {
-	ranked := Rank(duty, members)
-	if len(ranked) == 0 {
-		return ""
-	}
-	return ranked[0].Name
-}
-
-// Rank returns the living members in the order in which a duty falls to them.
-func Rank(duty string, members []viewer.Member) []viewer.Member {
-	hashes := make(map[string]uint64, len(members))
-	var living []viewer.Member
-	for _, m := range members {
-		if m.State == viewer.StateAlive {
-			hashes[m.Name] = xxhash.Sum64String(duty + "\x00" + m.Name)
-			living = append(living, m)
-		}
-	}
-	slices.SortFunc(living, func(a, b viewer.Member) int { return cmp.Compare(hashes[b.Name], hashes[a.Name]) })
-	return living
-}
--- a/internal/control/mover/reporter.go
+++ b/internal/control/mover/reporter.go
@@ -5,7 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"pomelotiller/internal/control/dutykeeper"
+	"pomelotiller/internal/fleet/ranker"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
 )
@@ -60,7 +60,7 @@
 func collectors(r Record, self string, members []viewer.Member) []string {
 	var addresses []string
 	perDomain := make(map[string]int)
-	for _, m := range dutykeeper.Rank(DutyPrefix+r.Name, members) {
+	for _, m := range ranker.Rank(DutyPrefix+r.Name, members) {
 		perDomain[m.Domain]++
 		if m.Name != self && (perDomain[m.Domain] <= collectorsADomain || m.Name == r.Holder) {
 			addresses = append(addresses, m.Peers)
--- a/internal/control/publisher/puller.go
+++ b/internal/control/publisher/puller.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"pomelotiller/internal/fleet/ranker"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
 )
@@ -52,15 +52,12 @@
 // watch the store. Each daemon works it out from the members that it knows.
 func Watchers(domain string, members []viewer.Member) []string {
 	var names []string
-	for _, m := range members {
-		if m.Domain == domain && m.State == viewer.StateAlive {
+	for _, m := range ranker.Rank(Key, members) {
+		if m.Domain == domain && len(names) < watchersPerDomain {
 			names = append(names, m.Name)
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(Key+a), xxhash.Sum64String(Key+b))
-	})
-	return names[:min(len(names), watchersPerDomain)]
+	return names
 }
 
 // Notify has the peers looked at now, because what they announce has changed.
--- a/internal/daemon/assembler/config.go
+++ b/internal/daemon/assembler/config.go
@@ -33,7 +33,7 @@
 // watching reports whether this daemon is one of the watchers of its failure
 // domain.
 func (d *Daemon) watching() bool {
-	return slices.Contains(publisher.Watchers(d.settings.Domain, d.gossiper.Members()), d.settings.Name)
+	return slices.Contains(publisher.Watchers(d.settings.Domain, d.holder.Load().Members), d.settings.Name)
 }
 
 // seeds returns the peer addresses of the settings and of the host list.
@@ -46,11 +46,14 @@
 	d.control.SetMembers(d.ctx, d.gossiper.Members())
 }
 
+// members returns the daemons of the current view.
+func (d *Daemon) members() []viewer.Member { return d.holder.Load().Members }
+
 // peers returns the other daemons with the releases that they announce.
 func (d *Daemon) peers() []publisher.Peer {
 	near := d.gossiper.Near()
 	var peers []publisher.Peer
-	for _, m := range d.gossiper.Members() {
+	for _, m := range d.holder.Load().Members {
 		if m.Name != d.settings.Name && m.State != viewer.StateGone {
 			peers = append(peers, publisher.Peer{
 				Address: m.Peers, Generation: m.Generation, Digest: m.Digest, Near: near[m.Name],
--- a/internal/daemon/assembler/limits.go
+++ b/internal/daemon/assembler/limits.go
@@ -47,7 +47,7 @@
 
 func (d *Daemon) dropPeers() {
 	alive := make(map[string]bool)
-	for _, m := range d.gossiper.Members() {
+	for _, m := range d.holder.Load().Members {
 		alive[m.Name] = m.State != viewer.StateGone
 	}
 	d.admitter.KeepPeers(alive)
--- a/internal/daemon/assembler/moves.go
+++ b/internal/daemon/assembler/moves.go
@@ -31,11 +31,11 @@
 	d.moves.follower = mover.NewFollower(mover.FollowerConfig{
 		Self: s.Name, Domain: s.Domain, Spreader: d.gossiper, Store: store, Logger: d.logger, Registry: d.registry,
 		Set:     func() loader.Set { return d.holder.Load().Set },
-		Members: d.gossiper.Members, Sender: datagrams{d},
+		Members: d.members, Sender: datagrams{d},
 		Changed: func() { d.control.Refresh(d.ctx) },
 	})
 	d.moves.duties = dutykeeper.New(dutykeeper.Config{
-		Self: s.Name, Store: store, Members: d.gossiper.Members, Duties: d.duties, Logger: d.logger, Registry: d.registry,
+		Self: s.Name, Store: store, Members: d.members, Duties: d.duties, Logger: d.logger, Registry: d.registry,
 	})
 	d.moves.mover = mover.New(mover.Config{
 		Self: s.Name, Store: store, Follower: d.moves.follower, View: d.holder.Load, Held: d.held, Logger: d.logger, Registry: d.registry,
--- a/internal/daemon/assembler/routing.go
+++ b/internal/daemon/assembler/routing.go
@@ -40,7 +40,7 @@
 
 func (d *Daemon) newProber() *prober.Prober {
 	p := prober.New(prober.Config{
-		Self: d.settings.Name, Members: d.gossiper.Members,
+		Self: d.settings.Name, Members: d.members,
 		Endpoints: func() []viewer.Endpoint { return d.holder.Load().Endpoints },
 		Report:    d.reported,
 		Publish: func(key string, value []byte) {
--- a/internal/daemon/informer/informer.go
+++ b/internal/daemon/informer/informer.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
 	"github.com/rcrowley/go-metrics"
 
 	"pomelotiller/internal/config/checker"
@@ -77,6 +78,7 @@
 		w.WriteHeader(http.StatusAccepted)
 	})
 	r.Method(http.MethodGet, "/metrics", meter.Handler(i.cfg.Registry))
+	r.Mount("/debug", middleware.Profiler())
 	return r
 }
 
--- a/internal/fleet/prober/prober.go
+++ b/internal/fleet/prober/prober.go
@@ -68,6 +68,7 @@
 	heard  map[string]map[string]heard
 	// period is the least time between two tellings of counts.
 	period time.Duration
+	share  share
 }
 
 // New returns a prober.
@@ -112,13 +113,14 @@
 	var mu sync.Mutex
 	var reports []Report
 	members := p.cfg.Members()
+	p.share.update(members)
 	engines := 0
 	for _, e := range p.cfg.Endpoints() {
 		if e.Role != lister.RoleEngine {
 			continue
 		}
 		engines++
-		ranks := probers(e, members, p.cfg.Probers)
+		ranks := p.share.of(e, members, p.cfg.Probers)
 		rank, mine := ranks[p.cfg.Self]
 		if !mine && len(ranks) > 0 {
 			mu.Lock()
--- a/internal/fleet/prober/spread.go
+++ b/internal/fleet/prober/spread.go
@@ -1,13 +1,11 @@
 package prober
 
 import (
-	"cmp"
 	"errors"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"pomelotiller/internal/fleet/viewer"
@@ -31,36 +29,6 @@
 	ErrFailed   = errors.New("daemons that probe the engine get no answer")
 )
 
-// probers returns the daemons that probe an engine, with their ranks: those of
-// its failure domain first, in the order of rendezvous hashing.
-func probers(e viewer.Endpoint, members []viewer.Member, n int) map[string]int {
-	type candidate struct {
-		name   string
-		remote bool
-		weight uint64
-	}
-	var all []candidate
-	for _, m := range members {
-		if m.State == viewer.StateAlive {
-			all = append(all, candidate{m.Name, m.Domain != e.Domain, xxhash.Sum64String(e.Name + "\x00" + m.Name)})
-		}
-	}
-	slices.SortFunc(all, func(a, b candidate) int {
-		if a.remote != b.remote {
-			if a.remote {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(a.weight, b.weight)
-	})
-	ranks := make(map[string]int)
-	for i, c := range all[:min(n, len(all))] {
-		ranks[c.name] = i
-	}
-	return ranks
-}
-
 // Word is what a daemon tells others of an engine.
 type Word struct {
 	_      struct{} `cbor:",toarray"`
--- a/internal/traffic/recorder/adopter.go
+++ b/internal/traffic/recorder/adopter.go
@@ -1,7 +1,6 @@
 package recorder
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -11,10 +10,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 
+	"pomelotiller/internal/fleet/ranker"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/platform/storer"
@@ -81,6 +80,10 @@
 func (r *Runner) adoptGone(ctx context.Context) {
 	for _, m := range r.cfg.View().Members {
 		owner := OwnerName(m.Name, m.Boot)
+		if m.State != viewer.StateGone {
+			r.present(owner)
+			continue
+		}
 		if r.dead(owner) && !r.wasAdopted(owner) && r.chosen(owner) == r.cfg.Name {
 			r.adopt(ctx, owner, false)
 		}
@@ -106,25 +109,20 @@
 
 // chosen returns the daemon that rendezvous hashing picks for a duty among
 // those alive, so that all agree without a call.
-func (r *Runner) chosen(duty string) string {
-	if names := r.ranked(duty); len(names) > 0 {
-		return names[0].Name
-	}
-	return ""
-}
+func (r *Runner) chosen(duty string) string { return ranker.First(duty, r.takers()) }
 
 // ranked returns the daemons alive in the order in which they are chosen for a
 // duty.
-func (r *Runner) ranked(duty string) []viewer.Member {
-	var alive []viewer.Member
-	for _, m := range r.cfg.View().Members {
-		if m.State == viewer.StateAlive && (m.Name != r.cfg.Name || !r.draining()) {
-			alive = append(alive, m)
-		}
+func (r *Runner) ranked(duty string) []viewer.Member { return ranker.Rank(duty, r.takers()) }
+
+// takers returns the members that can take over orders: all but this one if it
+// is draining.
+func (r *Runner) takers() []viewer.Member {
+	members := r.cfg.View().Members
+	if !r.draining() {
+		return members
 	}
-	weight := func(m viewer.Member) uint64 { return xxhash.Sum64String(m.Name + "\x00" + duty) }
-	slices.SortFunc(alive, func(a, b viewer.Member) int { return cmp.Compare(weight(b), weight(a)) })
-	return alive
+	return slices.DeleteFunc(slices.Clone(members), func(m viewer.Member) bool { return m.Name == r.cfg.Name })
 }
 
 // dead reports whether an owner has been gone for long enough. A daemon that
@@ -134,12 +132,12 @@
 		return false
 	}
 	grace := strangerTime
+	daemon, _, _ := strings.Cut(owner, "/")
 	for _, m := range r.cfg.View().Members {
 		switch {
+		case m.Name != daemon:
 		case OwnerName(m.Name, m.Boot) != owner:
-			if ran, _, _ := strings.Cut(owner, "/"); ran == m.Name {
-				grace = 0 // The daemon was started anew.
-			}
+			grace = 0 // The daemon was started anew.
 		case m.State == viewer.StateGone:
 			grace = goneTime
 		default:
