Read the host list less often as it grows

Cause: every daemon read the whole list each second. At 1,140 hosts of about 150 bytes that is 170 KB/s a daemon against 26 KB/s for all control, and 420 reads a second of the platform.

Ruled out: reading through a few daemons a failure domain, with changes passed on by call: more to go wrong for a list that lags by itself. A leaving host that one daemon reads of spreads by gossip already, and new hosts can wait.

Before: 1 s whatever the size.

Conclusion: the list fits; a new host is used up to 28 s late in a large fleet.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -21,8 +22,15 @@
 )
 
 const (
-	eventQueue     = 256
+	eventQueue = 256
+	// hostPeriod is the time between two readings of a host list of up to
+	// hostsPerPeriod hosts; with longer lists it grows, so that the bytes a second
+	// stay the same. What one daemon reads of leaving hosts, gossip tells all.
 	hostPeriod     = time.Second
+	hostsPerPeriod = 40
+	// hostJitter is the part of the period by which it varies, so that daemons
+	// read at different times.
+	hostJitter     = 0.2
 	missingReports = 4
 )
 
@@ -90,23 +98,33 @@
 // RunHosts reads the host list until ctx ends. The last list stays in force
 // while the platform does not answer.
 func (c *Controller) RunHosts(ctx context.Context) error {
-	tick := time.NewTicker(hostPeriod)
-	defer tick.Stop()
+	known := 0
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		}
 		hosts, err := c.cfg.Lister.Hosts(ctx)
 		if err != nil {
 			meter.Count(c.cfg.Registry, 1, "host_list_failures_total")
 		} else {
+			known = len(hosts)
 			c.send(ctx, hostsEvent(hosts))
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
+		timer.Reset(hostWait(known, rand.Float64()))
 	}
 }
 
+// hostWait returns the time until the next reading of a list of n hosts; at,
+// from 0 to 1, places it within the jitter.
+func hostWait(n int, at float64) time.Duration {
+	period := hostPeriod * time.Duration(max(n, hostsPerPeriod)) / hostsPerPeriod
+	return time.Duration(float64(period) * (1 + hostJitter*(at-0.5)))
+}
+
 // Adopt offers a release.
 func (c *Controller) Adopt(ctx context.Context, r publisher.Release) { c.send(ctx, releaseEvent(r)) }
 
