--- a/internal/control/dutykeeper/dutykeeper.go
+++ b/internal/control/dutykeeper/dutykeeper.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"pomelotiller/internal/fleet/ranker"
+	"pomelotiller/internal/fleet/ticker"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/platform/storer"
@@ -118,17 +119,8 @@
 
 // Run keeps duties until ctx ends, and then gives them back.
 func (k *Keeper) Run(ctx context.Context) error {
-	tick := time.NewTicker(tickPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			k.Release(context.WithoutCancel(ctx))
-			return nil
-		case <-tick.C:
-			k.Tick(ctx)
-		}
-	}
+	defer k.Release(context.WithoutCancel(ctx))
+	return ticker.Every(ctx, tickPeriod, k.Tick)
 }
 
 // Held returns a duty that this daemon holds at this moment. A daemon that was
--- a/internal/control/mover/follower.go
+++ b/internal/control/mover/follower.go
@@ -14,6 +14,7 @@
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/fleet/gossiper"
+	"pomelotiller/internal/fleet/ticker"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/platform/storer"
@@ -114,16 +115,7 @@
 
 // Run judges and spreads outcomes until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	tick := time.NewTicker(tickPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			f.Tick()
-		}
-	}
+	return ticker.Every(ctx, tickPeriod, func(context.Context) { f.Tick() })
 }
 
 // RunLoad reads the records from the store once, as soon as it answers, for a
--- a/internal/control/mover/mover.go
+++ b/internal/control/mover/mover.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
+	"pomelotiller/internal/fleet/ticker"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/platform/storer"
@@ -64,16 +65,7 @@
 
 // Run takes steps until ctx ends.
 func (m *Mover) Run(ctx context.Context) error {
-	tick := time.NewTicker(tickPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			m.Tick(ctx)
-		}
-	}
+	return ticker.Every(ctx, tickPeriod, m.Tick)
 }
 
 // Tick takes each step that is due.
--- a/internal/control/orderer/orderer.go
+++ b/internal/control/orderer/orderer.go
@@ -23,6 +23,7 @@
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/control/dutykeeper"
+	"pomelotiller/internal/fleet/ticker"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/platform/fetcher"
@@ -120,16 +121,7 @@
 
 // Run gives orders until ctx ends.
 func (o *Orderer) Run(ctx context.Context) error {
-	tick := time.NewTicker(tickPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			o.Tick(ctx)
-		}
-	}
+	return ticker.Every(ctx, tickPeriod, o.Tick)
 }
 
 // Tick gives the orders that are due.
--- a/internal/platform/fetcher/fetcher.go
+++ b/internal/platform/fetcher/fetcher.go
@@ -5,22 +5,19 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
-)
 
-const (
-	defaultTimeout    = 2 * time.Second
-	defaultRetryAfter = time.Second
-	maxAnswerBytes    = 64 << 10
+	"pomelotiller/internal/platform/requester"
 )
 
+// defaultRetryAfter is the wait after a refusal that names none.
+const defaultRetryAfter = time.Second
+
 // Weights describe the weights of a version.
 type Weights struct {
 	Name  string `json:"name"`
@@ -52,50 +49,34 @@
 }
 
 // ClientConfig configures a Client.
-type ClientConfig struct {
-	// Address is the host and port of the platform.
-	Address string
-	// Timeout bounds one call.
-	Timeout time.Duration
-}
+type ClientConfig = requester.Config
 
 // Client is a Fetcher over HTTP and JSON.
 type Client struct {
-	cfg  ClientConfig
-	http *http.Client
+	platform *requester.Client
 }
 
-// NewClient returns a client of the weight store at cfg.Address.
-func NewClient(cfg ClientConfig) *Client {
-	if cfg.Timeout == 0 {
-		cfg.Timeout = defaultTimeout
-	}
-	return &Client{cfg: cfg, http: &http.Client{Timeout: cfg.Timeout, Transport: &http.Transport{}}}
-}
+// NewClient returns a client of the weight store of the platform at cfg.Address.
+func NewClient(cfg ClientConfig) *Client { return &Client{platform: requester.New(cfg)} }
 
 // Fetch implements Fetcher.
 func (c *Client) Fetch(ctx context.Context, name string) (Weights, error) {
 	var w Weights
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.cfg.Address+"/weights/"+url.PathEscape(name), nil)
-	if err != nil {
-		return w, fmt.Errorf("fetch weights %q: %w", name, err)
-	}
-	res, err := c.http.Do(req)
+	a, err := c.platform.Call(ctx, http.MethodGet, "/weights/"+url.PathEscape(name), nil)
 	if err != nil {
 		return w, fmt.Errorf("fetch weights %q: %w: %w", name, ErrUnavailable, err)
 	}
-	defer res.Body.Close()
-	switch res.StatusCode {
+	switch a.Status {
 	case http.StatusOK:
 	case http.StatusTooManyRequests:
-		return w, &LimitError{RetryAfter: retryAfter(res.Header.Get("Retry-After"))}
+		return w, &LimitError{RetryAfter: retryAfter(a.Header.Get("Retry-After"))}
 	case http.StatusNotFound:
 		return w, fmt.Errorf("fetch weights %q: %w", name, ErrNotFound)
 	default:
-		return w, fmt.Errorf("fetch weights %q: %w: status %d", name, ErrUnavailable, res.StatusCode)
+		return w, fmt.Errorf("fetch weights %q: %w: %w", name, ErrUnavailable, a.StatusError())
 	}
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxAnswerBytes)).Decode(&w); err != nil {
-		return w, fmt.Errorf("fetch weights %q: %w: decode answer: %w", name, ErrUnavailable, err)
+	if err := a.Decode(&w); err != nil {
+		return w, fmt.Errorf("fetch weights %q: %w: %w", name, ErrUnavailable, err)
 	}
 	return w, nil
 }
--- a/internal/platform/lister/lister.go
+++ b/internal/platform/lister/lister.go
@@ -4,11 +4,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"time"
+
+	"pomelotiller/internal/platform/requester"
 )
 
 // Role says what runs on a host.
@@ -54,26 +55,15 @@
 var ErrUnavailable = errors.New("host list unavailable")
 
 // ClientConfig configures a Client.
-type ClientConfig struct {
-	// Address is the host and port of the platform.
-	Address string
-	// Timeout bounds one call.
-	Timeout time.Duration
-}
+type ClientConfig = requester.Config
 
 // Client is a Lister over HTTP and JSON.
 type Client struct {
-	cfg  ClientConfig
-	http *http.Client
+	platform *requester.Client
 }
 
-// NewClient returns a client of the list at cfg.Address.
-func NewClient(cfg ClientConfig) *Client {
-	if cfg.Timeout == 0 {
-		cfg.Timeout = 2 * time.Second
-	}
-	return &Client{cfg: cfg, http: &http.Client{Timeout: cfg.Timeout, Transport: &http.Transport{}}}
-}
+// NewClient returns a client of the list that the platform at cfg.Address keeps.
+func NewClient(cfg ClientConfig) *Client { return &Client{platform: requester.New(cfg)} }
 
 // Hosts implements Lister.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
@@ -85,20 +75,15 @@
 }
 
 func (c *Client) read(ctx context.Context) ([]Host, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.cfg.Address+"/hosts", nil)
-	if err != nil {
-		return nil, err
-	}
-	res, err := c.http.Do(req)
+	a, err := c.platform.Call(ctx, http.MethodGet, "/hosts", nil)
 	if err != nil {
 		return nil, err
 	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d", res.StatusCode)
+	if a.Status != http.StatusOK {
+		return nil, a.StatusError()
 	}
 	var hosts []Host
-	if err := json.NewDecoder(res.Body).Decode(&hosts); err != nil {
+	if err := a.Decode(&hosts); err != nil {
 		return nil, err
 	}
 	if hosts == nil {
--- a/internal/platform/renter/renter.go
+++ b/internal/platform/renter/renter.go
@@ -3,20 +3,14 @@
 package renter
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
-)
 
-const (
-	defaultTimeout = 5 * time.Second
-	maxAnswerBytes = 4 << 20
+	"pomelotiller/internal/platform/requester"
 )
 
 // Slot is what a host is rented as.
@@ -64,26 +58,15 @@
 var ErrRefused = errors.New("start refused")
 
 // ClientConfig configures a Client.
-type ClientConfig struct {
-	// Address is the host and port of the platform.
-	Address string
-	// Timeout bounds one call.
-	Timeout time.Duration
-}
+type ClientConfig = requester.Config
 
 // Client is a Renter over HTTP and JSON.
 type Client struct {
-	cfg  ClientConfig
-	http *http.Client
+	platform *requester.Client
 }
 
-// NewClient returns a client of the cloud at cfg.Address.
-func NewClient(cfg ClientConfig) *Client {
-	if cfg.Timeout == 0 {
-		cfg.Timeout = defaultTimeout
-	}
-	return &Client{cfg: cfg, http: &http.Client{Timeout: cfg.Timeout, Transport: &http.Transport{}}}
-}
+// NewClient returns a client of the cloud of the platform at cfg.Address.
+func NewClient(cfg ClientConfig) *Client { return &Client{platform: requester.New(cfg)} }
 
 // Offers implements Renter.
 func (c *Client) Offers(ctx context.Context) ([]Offer, error) {
@@ -112,31 +95,18 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
-	b, err := json.Marshal(in)
-	if err != nil {
-		return fmt.Errorf("cloud: %s %s: %w", method, path, err)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.cfg.Address+path, bytes.NewReader(b))
-	if err != nil {
-		return fmt.Errorf("cloud: %w", err)
-	}
-	// The transport must not send a start again by itself.
-	req.GetBody = nil
-	res, err := c.http.Do(req)
-	if err != nil {
-		return fmt.Errorf("cloud: %w", err)
-	}
-	defer res.Body.Close()
+	a, err := c.platform.Call(ctx, method, path, in)
 	switch {
-	case res.StatusCode == http.StatusConflict:
-		return fmt.Errorf("cloud: %s %s: %w", method, path, ErrRefused)
-	case res.StatusCode != http.StatusOK:
-		return fmt.Errorf("cloud: %s %s: status %d", method, path, res.StatusCode)
-	case out == nil:
-		return nil
+	case err != nil:
+	case a.Status == http.StatusConflict:
+		err = ErrRefused
+	case a.Status != http.StatusOK:
+		err = a.StatusError()
+	default:
+		err = a.Decode(out)
 	}
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxAnswerBytes)).Decode(out); err != nil {
-		return fmt.Errorf("cloud: %s %s: decode answer: %w", method, path, err)
+	if err != nil {
+		return fmt.Errorf("cloud: %s %s: %w", method, path, err)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/platform/requester/requester.go
@@ -0,0 +1,106 @@
+// Package requester calls the platform's services over HTTP and JSON. What a
+// status means is left to the clients of the single services.
+package requester
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+const (
+	defaultTimeout = 2 * time.Second
+	maxAnswerBytes = 64 << 20
+	maxIdleConns   = 16
+	// idleConnTime is short, since a connection that nobody uses may have gone
+	// silent unnoticed.
+	idleConnTime = 5 * time.Second
+)
+
+// Config configures a Client.
+type Config struct {
+	// Address is the host and port of the platform.
+	Address string
+	// Timeout bounds one call; 0 is 2 s.
+	Timeout time.Duration
+}
+
+// Client calls one service of the platform.
+type Client struct {
+	cfg  Config
+	http *http.Client
+}
+
+// New returns a client of the service at cfg.Address.
+func New(cfg Config) *Client {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	t := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTime}
+	return &Client{cfg: cfg, http: &http.Client{Transport: t}}
+}
+
+// Answer is a whole answer of a service.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Call sends in as JSON, or no body if it is nil, and reads the whole answer
+// within the client's timeout. After an error the call may have taken effect.
+func (c *Client) Call(ctx context.Context, method, path string, in any) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	return c.Send(ctx, method, path, in)
+}
+
+// CloseIdle closes the connections that no call uses, so that the next calls
+// open new ones.
+func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+
+// Send is Call with no other bound than ctx.
+func (c *Client) Send(ctx context.Context, method, path string, in any) (Answer, error) {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return Answer{}, fmt.Errorf("encode %s %s: %w", method, path, err)
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.cfg.Address+path, body)
+	if err != nil {
+		return Answer{}, err
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	if err != nil {
+		return Answer{}, fmt.Errorf("read answer: %w", err)
+	}
+	return Answer{Status: res.StatusCode, Header: res.Header, Body: b}, nil
+}
+
+// Decode reads the body as JSON; a nil out takes none.
+func (a Answer) Decode(out any) error {
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(a.Body, out); err != nil {
+		return fmt.Errorf("decode answer: %w", err)
+	}
+	return nil
+}
+
+// StatusError describes a status that has no meaning of its own.
+func (a Answer) StatusError() error {
+	return fmt.Errorf("status %d: %s", a.Status, bytes.TrimSpace(a.Body))
+}
--- a/internal/platform/storer/client.go
+++ b/internal/platform/storer/client.go
@@ -1,30 +1,25 @@
 package storer
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
+
+	"pomelotiller/internal/platform/requester"
 )
 
 const (
 	defaultCallTimeout = 2 * time.Second
 	defaultWatchWait   = 2 * time.Second
 	watchSlack         = 500 * time.Millisecond
-	// idleTimeout is short, since a connection that nobody uses may have gone
-	// silent unnoticed.
-	idleTimeout     = 5 * time.Second
-	firstRetryDelay = 20 * time.Millisecond
-	maxRetryDelay   = 250 * time.Millisecond
-	maxAnswerBytes  = 64 << 20
+	firstRetryDelay    = 20 * time.Millisecond
+	maxRetryDelay      = 250 * time.Millisecond
 )
 
 // ClientConfig configures a Client.
@@ -42,8 +37,8 @@
 
 // Client is a Store over HTTP and JSON.
 type Client struct {
-	cfg  ClientConfig
-	http *http.Client
+	cfg      ClientConfig
+	platform *requester.Client
 }
 
 // NewClient returns a client of the service at cfg.Address.
@@ -57,8 +52,7 @@
 	if cfg.Attempts == 0 {
 		cfg.Attempts = 3
 	}
-	t := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: idleTimeout}
-	return &Client{cfg: cfg, http: &http.Client{Transport: t}}
+	return &Client{cfg: cfg, platform: requester.New(requester.Config{Address: cfg.Address})}
 }
 
 // Get implements Store.
@@ -137,7 +131,7 @@
 	var p Page
 	_, err := c.send(ctx, http.MethodGet, q, nil, &p)
 	if errors.Is(err, context.DeadlineExceeded) {
-		c.http.CloseIdleConnections()
+		c.platform.CloseIdle()
 	}
 	return p, err
 }
@@ -185,53 +179,31 @@
 	defer cancel()
 	status, err := c.send(ctx, method, path, in, out)
 	if errors.Is(err, context.DeadlineExceeded) {
-		c.http.CloseIdleConnections()
+		c.platform.CloseIdle()
 	}
 	return status, err
 }
 
+// send accepts the statuses that carry meaning for a caller and turns every
+// other one into ErrUnavailable.
 func (c *Client) send(ctx context.Context, method, path string, in, out any) (int, error) {
-	var body io.Reader
-	if in != nil {
-		b, err := json.Marshal(in)
-		if err != nil {
-			return 0, fmt.Errorf("encode %s %s: %w", method, path, err)
-		}
-		body = bytes.NewReader(b)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.cfg.Address+path, body)
-	if err != nil {
-		return 0, fmt.Errorf("request %s %s: %w", method, path, err)
-	}
-	res, err := c.http.Do(req)
+	a, err := c.platform.Send(ctx, method, path, in)
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	defer res.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
-	if err != nil {
-		return 0, fmt.Errorf("%w: read answer: %w", ErrUnavailable, err)
-	}
-	return res.StatusCode, decodeAnswer(res.StatusCode, b, out)
-}
-
-// decodeAnswer accepts the statuses that carry meaning for a caller and turns
-// every other one into ErrUnavailable.
-func decodeAnswer(status int, b []byte, out any) error {
-	switch status {
+	switch a.Status {
 	case http.StatusOK, http.StatusConflict:
-		if out == nil || len(b) == 0 {
-			return nil
+		if len(a.Body) == 0 {
+			return a.Status, nil
 		}
-		if err := json.Unmarshal(b, out); err != nil {
-			return fmt.Errorf("%w: decode answer: %w", ErrUnavailable, err)
+		if err := a.Decode(out); err != nil {
+			return a.Status, fmt.Errorf("%w: %w", ErrUnavailable, err)
 		}
-		return nil
 	case http.StatusNotFound, http.StatusGone, http.StatusNoContent:
-		return nil
 	default:
-		return fmt.Errorf("%w: status %d: %s", ErrUnavailable, status, bytes.TrimSpace(b))
+		return a.Status, fmt.Errorf("%w: %w", ErrUnavailable, a.StatusError())
 	}
+	return a.Status, nil
 }
 
 func retryPolicy() *backoff.ExponentialBackOff {
