Suspect a neighbour to which no connection can be made

Cause: silence is noticed by those to whom a member's heartbeats went. When most of a fleet is lost at once they are lost too, and a death was found out only by four missed refreshes: 40 s in a small fleet, 252 s at 420 daemons. Until then duties and orders fell to daemons that were dead.

Ruled out: shorter refreshes, which cost bytes in proportion to the fleet.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -307,6 +307,9 @@
 		g.mu.Unlock()
 		if err != nil {
 			g.count("gossip_send_failures_total", 1)
+			if ctx.Err() == nil {
+				g.unreached(addr, time.Now())
+			}
 			return
 		}
 		g.count("gossip_sent_datagrams_total", 1)
--- a/internal/fleet/gossiper/member.go
+++ b/internal/fleet/gossiper/member.go
@@ -115,6 +115,9 @@
 	// neighbours. It is asked before its silence counts.
 	expected bool
 	heard    time.Time
+	// unreached is set once no connection could be made to the member, until it
+	// is heard again.
+	unreached bool
 	// since is when the state was taken up.
 	since time.Time
 	// advanced is when the member last showed that it lives.
@@ -168,7 +171,7 @@
 		old.advanced = now
 	}
 	if next.Boot != old.Boot {
-		old.booted, old.spread = now, false
+		old.booted, old.spread, old.unreached = now, false, false
 		old.direct, old.heard = g.expects(next, now), now
 		old.expected = old.direct
 		g.restarted = append(g.restarted, next.Peers)
@@ -242,6 +245,22 @@
 	g.ageItems(now)
 }
 
+// unreached suspects the member at an address to which no connection could be
+// made, unless its heartbeats still come here. Most of a fleet may be lost at
+// once, and with it all that would have noticed a death by its silence.
+func (g *Gossiper) unreached(addr string, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		if m.Peers != addr || m.State != rankAlive || m.unreached || m.direct && now.Sub(m.heard) < g.cfg.SuspectAfter {
+			continue
+		}
+		// Judged once, as silence is: the link may be cut one way only.
+		m.unreached = true
+		g.setState(m, rankSuspected, now)
+	}
+}
+
 func (g *Gossiper) setState(m *member, r rank, now time.Time) {
 	g.logState(m.Name, m.State.state(), r.state())
 	m.State, m.since, m.advanced = r, now, now
--- a/internal/fleet/gossiper/rumor.go
+++ b/internal/fleet/gossiper/rumor.go
@@ -280,7 +280,7 @@
 	if m == nil {
 		return nil
 	}
-	m.heard, m.advanced = now, now
+	m.heard, m.advanced, m.unreached = now, now, false
 	switch {
 	case p.Flags&flagReply != 0:
 		// It lives, and sends its heartbeats to others.
