--- a/internal/fleet/gossiper/cost_test.go
+++ b/internal/fleet/gossiper/cost_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"os"
+	"flag"
 	"testing"
 	"time"
 )
@@ -33,14 +33,22 @@
 	}
 }
 
-// TestFigures prints what a daemon sends a second at several sizes. It takes
-// long, and runs only by GOSSIP_FIGURES=1.
-func TestFigures(t *testing.T) {
-	if os.Getenv("GOSSIP_FIGURES") == "" {
-		t.Skip("GOSSIP_FIGURES is not set")
+var largeFleets = flag.Bool("large", false, "measure the bytes sent in large fleets too")
+
+// TestBytes prints what a daemon sends a second at rest, which must leave most
+// of the 26 KB/s of all control to others.
+func TestBytes(t *testing.T) {
+	const limit = 4 << 10
+	sizes := []int{3, 9, 27}
+	if *largeFleets {
+		sizes = append(sizes, 81, 162, 420)
 	}
-	for _, size := range []int{3, 9, 27, 81, 162, 420} {
-		t.Logf("%d daemons: %d bytes a second sent by each", size, bytesPerSecond(t, size))
+	for _, size := range sizes {
+		n := bytesPerSecond(t, size)
+		t.Logf("%d daemons: %d bytes a second sent by each", size, n)
+		if n > limit {
+			t.Errorf("got %d bytes a second at %d daemons, want at most %d", n, size, limit)
+		}
 	}
 }
 
