Judge the slow engine under a policy that uses it

Cause: TestSlowEngine failed in one of about 20 runs, and once in a fresh clone: the default policy has become the one that predicts waits, which avoids a slow engine by itself, so that it had too few answers to be judged within the fixed rounds and got some requests later.

Ruled out: an ejection that ends early; the engine had 3 answers where a judgement needs 8.

The engines differ by a factor of 20, not by the noise of the machine.

--- a/internal/traffic/relayer/outlier_test.go
+++ b/internal/traffic/relayer/outlier_test.go
@@ -9,6 +9,7 @@
 
 	"pomelotiller/internal/platform/inferrer"
 	"pomelotiller/internal/standin/generator"
+	"pomelotiller/internal/traffic/router"
 )
 
 // TestEjection plays attempts at the first of three engines, one a second, after
@@ -120,12 +121,21 @@
 
 // TestSlowEngine runs requests at three engines, one of them slow.
 func TestSlowEngine(t *testing.T) {
-	b := newBench(t, 2)
-	slow := generator.New(generator.Config{Versions: []string{testVersion}, TokenTime: 15 * time.Millisecond})
-	srv := httptest.NewServer(slow.Handler())
-	t.Cleanup(srv.Close)
-	b.add(srv.Listener.Addr().String())
-	for range 6 {
+	b := newBench(t, 0)
+	// The default policy would avoid the slow engine before it can be judged.
+	b.relayer.cfg.Router = router.New(router.Config{Policy: router.LeastInFlight{}})
+	var slow *generator.Generator
+	for _, tokenTime := range []time.Duration{2 * time.Millisecond, 2 * time.Millisecond, 40 * time.Millisecond} {
+		slow = generator.New(generator.Config{Versions: []string{testVersion}, TokenTime: tokenTime})
+		srv := httptest.NewServer(slow.Handler())
+		t.Cleanup(srv.Close)
+		b.add(srv.Listener.Addr().String())
+	}
+	const maxRounds = 30
+	for n := 0; len(b.relayer.outliers.excluded(time.Now(), testVersion, nil)) == 0; n++ {
+		if n == maxRounds {
+			t.Fatalf("got the slow engine still in use after %d rounds", n)
+		}
 		b.warm(t, 12)
 	}
 	before := slow.Served()[testVersion]
