Rename the area of outside clients to remote

The folder platform/ at the root is to hold the users' platform's names, formats and calls. The area internal/platform held the clients of the outside systems under the same name; it is now internal/remote. No code changes beside import paths.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -18,7 +18,7 @@
 	"pomelotiller/internal/fleet/prober"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/lister"
 )
 
 const (
--- a/internal/control/controller/controller_bench_test.go
+++ b/internal/control/controller/controller_bench_test.go
@@ -9,8 +9,8 @@
 
 	"pomelotiller/internal/fleet/prober"
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/inferrer"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/remote/lister"
 )
 
 // BenchmarkReports measures one round of load reports up to the published view,
--- a/internal/control/dutykeeper/dutykeeper_test.go
+++ b/internal/control/dutykeeper/dutykeeper_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/standin/memorizer"
 )
 
--- a/internal/control/mover/fleet_test.go
+++ b/internal/control/mover/fleet_test.go
@@ -12,7 +12,7 @@
 	"pomelotiller/internal/control/dutykeeper"
 	"pomelotiller/internal/fleet/gossiper"
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/standin/memorizer"
 	"pomelotiller/internal/traffic/relayer"
 )
--- a/internal/control/mover/follower.go
+++ b/internal/control/mover/follower.go
@@ -17,7 +17,7 @@
 	"pomelotiller/internal/fleet/ticker"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/traffic/relayer"
 )
 
--- a/internal/control/mover/mover.go
+++ b/internal/control/mover/mover.go
@@ -14,7 +14,7 @@
 	"pomelotiller/internal/fleet/ticker"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 )
 
 // DutyPrefix starts the names of the duties of moves.
--- a/internal/control/mover/mover_test.go
+++ b/internal/control/mover/mover_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"pomelotiller/internal/config/loader"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/relayer"
 )
 
--- a/internal/control/mover/observer.go
+++ b/internal/control/mover/observer.go
@@ -7,7 +7,7 @@
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/observe/meter"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/relayer"
 )
 
--- a/internal/control/mover/record.go
+++ b/internal/control/mover/record.go
@@ -14,7 +14,7 @@
 	"github.com/qmuntal/stateless"
 
 	"pomelotiller/internal/config/loader"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 )
 
 // Prefix starts the keys of the records in the store.
--- a/internal/control/orderer/orderer.go
+++ b/internal/control/orderer/orderer.go
@@ -26,9 +26,9 @@
 	"pomelotiller/internal/fleet/ticker"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
-	"pomelotiller/internal/platform/fetcher"
-	"pomelotiller/internal/platform/inferrer"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/fetcher"
+	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/remote/lister"
 )
 
 const (
--- a/internal/control/orderer/orderer_test.go
+++ b/internal/control/orderer/orderer_test.go
@@ -12,9 +12,9 @@
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/control/dutykeeper"
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/fetcher"
-	"pomelotiller/internal/platform/inferrer"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/fetcher"
+	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/remote/lister"
 )
 
 // engine obeys orders, and checks fencing numbers if told to.
--- a/internal/control/provisioner/plan.go
+++ b/internal/control/provisioner/plan.go
@@ -5,7 +5,7 @@
 	"math"
 	"slices"
 
-	"pomelotiller/internal/platform/renter"
+	"pomelotiller/internal/remote/renter"
 )
 
 // Plan is the number of hosts of each slot.
--- a/internal/control/provisioner/provisioner.go
+++ b/internal/control/provisioner/provisioner.go
@@ -13,7 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pomelotiller/internal/observe/meter"
-	"pomelotiller/internal/platform/renter"
+	"pomelotiller/internal/remote/renter"
 )
 
 const (
--- a/internal/control/provisioner/provisioner_test.go
+++ b/internal/control/provisioner/provisioner_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"pomelotiller/internal/platform/renter"
+	"pomelotiller/internal/remote/renter"
 	"pomelotiller/internal/standin/keeper"
 )
 
--- a/internal/control/publisher/publisher.go
+++ b/internal/control/publisher/publisher.go
@@ -16,7 +16,7 @@
 
 	"pomelotiller/internal/config/checker"
 	"pomelotiller/internal/config/loader"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 )
 
 // Key is the key of the configuration in the store.
--- a/internal/control/publisher/publisher_test.go
+++ b/internal/control/publisher/publisher_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/standin/keeper"
 )
 
--- a/internal/control/publisher/watcher.go
+++ b/internal/control/publisher/watcher.go
@@ -11,7 +11,7 @@
 
 	"pomelotiller/internal/fleet/messenger"
 	"pomelotiller/internal/observe/meter"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 )
 
 const (
--- a/internal/daemon/assembler/config.go
+++ b/internal/daemon/assembler/config.go
@@ -7,7 +7,7 @@
 	"pomelotiller/internal/control/publisher"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 )
 
 // watchWait is how long one watch of the configuration is held open. It bounds
--- a/internal/daemon/assembler/leaving.go
+++ b/internal/daemon/assembler/leaving.go
@@ -7,7 +7,7 @@
 	"pomelotiller/internal/fleet/prober"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/lister"
 )
 
 // leavingTopic is the topic under which daemons tell one another which
--- a/internal/daemon/assembler/moves.go
+++ b/internal/daemon/assembler/moves.go
@@ -9,9 +9,9 @@
 	"pomelotiller/internal/control/mover"
 	"pomelotiller/internal/control/orderer"
 	"pomelotiller/internal/observe/meter"
-	"pomelotiller/internal/platform/fetcher"
-	"pomelotiller/internal/platform/inferrer"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/fetcher"
+	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/remote/storer"
 )
 
 // moves are the parts of a daemon that carry out moves.
--- a/internal/daemon/assembler/orders.go
+++ b/internal/daemon/assembler/orders.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/traffic/recorder"
 	"pomelotiller/internal/traffic/router"
 )
--- a/internal/daemon/assembler/outcomes.go
+++ b/internal/daemon/assembler/outcomes.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/recorder"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/relayer"
--- a/internal/daemon/assembler/routing.go
+++ b/internal/daemon/assembler/routing.go
@@ -16,8 +16,8 @@
 	"pomelotiller/internal/fleet/prober"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
-	"pomelotiller/internal/platform/inferrer"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/remote/lister"
 	"pomelotiller/internal/traffic/router"
 )
 
--- a/internal/daemon/assembler/routing_test.go
+++ b/internal/daemon/assembler/routing_test.go
@@ -11,8 +11,8 @@
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/inferrer"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/remote/lister"
 	"pomelotiller/internal/standin/generator"
 	"pomelotiller/internal/traffic/router"
 )
--- a/internal/daemon/demonstrator/demonstrator.go
+++ b/internal/daemon/demonstrator/demonstrator.go
@@ -18,8 +18,8 @@
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/daemon/assembler"
-	"pomelotiller/internal/platform/inferrer"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/remote/lister"
 	"pomelotiller/internal/standin/certifier"
 	"pomelotiller/internal/standin/generator"
 	"pomelotiller/internal/standin/keeper"
--- a/internal/daemon/demonstrator/moves.go
+++ b/internal/daemon/demonstrator/moves.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"pomelotiller/internal/control/mover"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 const (
--- a/internal/daemon/informer/informer.go
+++ b/internal/daemon/informer/informer.go
@@ -20,7 +20,7 @@
 	"pomelotiller/internal/control/publisher"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/traffic/recorder"
 )
 
--- a/internal/daemon/verifier/config_store_test.go
+++ b/internal/daemon/verifier/config_store_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"pomelotiller/internal/control/publisher"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 )
 
 // storedRelease reads the configuration that the store holds; it is empty if
--- a/internal/daemon/verifier/drain_test.go
+++ b/internal/daemon/verifier/drain_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 const (
--- a/internal/daemon/verifier/duty_test.go
+++ b/internal/daemon/verifier/duty_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"pomelotiller/internal/control/dutykeeper"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/standin/generator"
 	"pomelotiller/internal/standin/keeper"
 )
--- a/internal/daemon/verifier/harness_test.go
+++ b/internal/daemon/verifier/harness_test.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/lister"
 	"pomelotiller/internal/standin/certifier"
 	"pomelotiller/internal/standin/faulter"
 	"pomelotiller/internal/standin/keeper"
--- a/internal/daemon/verifier/limit_flood_test.go
+++ b/internal/daemon/verifier/limit_flood_test.go
@@ -9,7 +9,7 @@
 	"sync"
 	"testing"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/admitter"
 	"pomelotiller/internal/traffic/refuser"
 )
--- a/internal/daemon/verifier/membership_faults_test.go
+++ b/internal/daemon/verifier/membership_faults_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/lister"
 	"pomelotiller/internal/standin/faulter"
 )
 
--- a/internal/daemon/verifier/move_service_test.go
+++ b/internal/daemon/verifier/move_service_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"pomelotiller/internal/control/mover"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/lister"
 	"pomelotiller/internal/standin/servicer"
 )
 
--- a/internal/daemon/verifier/move_test.go
+++ b/internal/daemon/verifier/move_test.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"pomelotiller/internal/control/mover"
-	"pomelotiller/internal/platform/inferrer"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/remote/lister"
 	"pomelotiller/internal/standin/generator"
 	"pomelotiller/internal/standin/keeper"
 )
--- a/internal/daemon/verifier/orders_harness_test.go
+++ b/internal/daemon/verifier/orders_harness_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/lister"
 	"pomelotiller/internal/standin/keeper"
 	"pomelotiller/internal/traffic/recorder"
 )
--- a/internal/daemon/verifier/orders_send_test.go
+++ b/internal/daemon/verifier/orders_send_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/standin/faulter"
 	"pomelotiller/internal/standin/servicer"
 	"pomelotiller/internal/traffic/recorder"
--- a/internal/daemon/verifier/path_test.go
+++ b/internal/daemon/verifier/path_test.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"testing"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/standin/generator"
 	"pomelotiller/internal/standin/servicer"
 )
--- a/internal/daemon/verifier/stream_bench_test.go
+++ b/internal/daemon/verifier/stream_bench_test.go
@@ -14,8 +14,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"pomelotiller/internal/platform/inferrer"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/remote/lister"
 )
 
 const (
--- a/internal/fleet/prober/prober.go
+++ b/internal/fleet/prober/prober.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/inferrer"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/remote/lister"
 )
 
 const (
--- a/internal/fleet/prober/prober_test.go
+++ b/internal/fleet/prober/prober_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/lister"
 )
 
 // knownBy is the promise: the end or the leaving of an engine is known to all
--- a/internal/fleet/prober/spread.go
+++ b/internal/fleet/prober/spread.go
@@ -9,7 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 const (
--- a/internal/fleet/prober/spread_bench_test.go
+++ b/internal/fleet/prober/spread_bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/lister"
 )
 
 // BenchmarkShare measures how a daemon finds out, four times a second, which
--- a/internal/fleet/viewer/viewer.go
+++ b/internal/fleet/viewer/viewer.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"pomelotiller/internal/config/loader"
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/lister"
 )
 
 // State is what a daemon believes about a member or an endpoint.
--- a/internal/measure/comparer/answer.go
+++ b/internal/measure/comparer/answer.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"pomelotiller/internal/measure/reporter"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/standin/generator"
 	"pomelotiller/internal/traffic/router"
 )
--- a/internal/measure/comparer/stage.go
+++ b/internal/measure/comparer/stage.go
@@ -10,7 +10,7 @@
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/measure/reporter"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/standin/generator"
 	"pomelotiller/internal/traffic/router"
 )
--- a/internal/measure/driver/answer.go
+++ b/internal/measure/driver/answer.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"pomelotiller/internal/measure/reporter"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 const (
--- a/internal/measure/planner/planner.go
+++ b/internal/measure/planner/planner.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 // Request is one planned request.
--- a/internal/measure/planner/planner_test.go
+++ b/internal/measure/planner/planner_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 var update = flag.Bool("update", false, "write the golden files")
--- a/internal/measure/reporter/reporter.go
+++ b/internal/measure/reporter/reporter.go
@@ -11,7 +11,7 @@
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/measure/planner"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 // Outcome is what came of one request. Times count from the intended start, so
--- a/internal/platform/fetcher/contract_test.go
+++ b/internal/remote/fetcher/contract_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"pomelotiller/internal/platform/fetcher"
+	"pomelotiller/internal/remote/fetcher"
 	"pomelotiller/internal/standin/keeper"
 )
 
--- a/internal/platform/fetcher/fetcher.go
+++ b/internal/remote/fetcher/fetcher.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"time"
 
-	"pomelotiller/internal/platform/requester"
+	"pomelotiller/internal/remote/requester"
 )
 
 // defaultRetryAfter is the wait after a refusal that names none.
--- a/internal/platform/inferrer/orders_contract_test.go
+++ b/internal/remote/inferrer/orders_contract_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/standin/generator"
 )
 
--- a/internal/platform/lister/contract_test.go
+++ b/internal/remote/lister/contract_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"pomelotiller/internal/platform/lister"
+	"pomelotiller/internal/remote/lister"
 	"pomelotiller/internal/standin/keeper"
 )
 
--- a/internal/platform/lister/lister.go
+++ b/internal/remote/lister/lister.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"time"
 
-	"pomelotiller/internal/platform/requester"
+	"pomelotiller/internal/remote/requester"
 )
 
 // Role says what runs on a host.
--- a/internal/platform/renter/contract_test.go
+++ b/internal/remote/renter/contract_test.go
@@ -9,7 +9,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/google/uuid"
 
-	"pomelotiller/internal/platform/renter"
+	"pomelotiller/internal/remote/renter"
 	"pomelotiller/internal/standin/keeper"
 )
 
--- a/internal/platform/renter/renter.go
+++ b/internal/remote/renter/renter.go
@@ -10,7 +10,7 @@
 	"net/url"
 	"time"
 
-	"pomelotiller/internal/platform/requester"
+	"pomelotiller/internal/remote/requester"
 )
 
 // Slot is what a host is rented as.
--- a/internal/platform/storer/client.go
+++ b/internal/remote/storer/client.go
@@ -11,7 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 
-	"pomelotiller/internal/platform/requester"
+	"pomelotiller/internal/remote/requester"
 )
 
 const (
--- a/internal/platform/storer/contract_test.go
+++ b/internal/remote/storer/contract_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/google/uuid"
 
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/standin/keeper"
 )
 
--- a/internal/platform/storer/faults_test.go
+++ b/internal/remote/storer/faults_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/standin/faulter"
 	"pomelotiller/internal/standin/keeper"
 )
--- a/internal/platform/storer/history_test.go
+++ b/internal/remote/storer/history_test.go
@@ -8,7 +8,7 @@
 	"sync"
 	"testing"
 
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/standin/keeper"
 )
 
--- a/internal/standin/generator/events.go
+++ b/internal/standin/generator/events.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 // maxEvents bounds the events that an engine remembers.
--- a/internal/standin/generator/faults.go
+++ b/internal/standin/generator/faults.go
@@ -9,7 +9,7 @@
 	"strings"
 	"sync"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 // AnswerFault is the way in which the answer to one attempt goes wrong.
--- a/internal/standin/generator/handler.go
+++ b/internal/standin/generator/handler.go
@@ -11,7 +11,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 const slowFactor = 20
--- a/internal/standin/generator/transfer.go
+++ b/internal/standin/generator/transfer.go
@@ -9,7 +9,7 @@
 	"strings"
 	"sync"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 const (
--- a/internal/standin/keeper/cloud.go
+++ b/internal/standin/keeper/cloud.go
@@ -13,7 +13,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"pomelotiller/internal/platform/renter"
+	"pomelotiller/internal/remote/renter"
 )
 
 // ErrLost is a start whose answer was lost after the host was rented.
--- a/internal/standin/keeper/cloud_test.go
+++ b/internal/standin/keeper/cloud_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"pomelotiller/internal/platform/renter"
+	"pomelotiller/internal/remote/renter"
 )
 
 // TestCloudOverHTTP goes through the cases of the cloud's interface: a start, the
--- a/internal/standin/keeper/handler.go
+++ b/internal/standin/keeper/handler.go
@@ -8,8 +8,8 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"pomelotiller/internal/platform/lister"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/lister"
+	"pomelotiller/internal/remote/storer"
 )
 
 const expiryPeriod = 100 * time.Millisecond
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"pomelotiller/internal/platform/lister"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/lister"
+	"pomelotiller/internal/remote/storer"
 )
 
 // Keeper holds the platform's state. All methods are safe for concurrent use.
--- a/internal/standin/keeper/weights.go
+++ b/internal/standin/keeper/weights.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"pomelotiller/internal/platform/fetcher"
+	"pomelotiller/internal/remote/fetcher"
 )
 
 // weightBytes is the size of all weights of the stand-in.
--- a/internal/standin/memorizer/memorizer.go
+++ b/internal/standin/memorizer/memorizer.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 )
 
 // Config configures a Memorizer.
--- a/internal/standin/servicer/servicer.go
+++ b/internal/standin/servicer/servicer.go
@@ -14,7 +14,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 // Config configures a service.
--- a/internal/traffic/listener/answer.go
+++ b/internal/traffic/listener/answer.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/admitter"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/relayer"
--- a/internal/traffic/listener/completion.go
+++ b/internal/traffic/listener/completion.go
@@ -14,7 +14,7 @@
 	"github.com/google/uuid"
 
 	"pomelotiller/internal/config/loader"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/relayer"
 )
--- a/internal/traffic/listener/listener.go
+++ b/internal/traffic/listener/listener.go
@@ -17,7 +17,7 @@
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/observe/tracer"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/admitter"
 	"pomelotiller/internal/traffic/recorder"
 	"pomelotiller/internal/traffic/refuser"
--- a/internal/traffic/listener/listener_bench_test.go
+++ b/internal/traffic/listener/listener_bench_test.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"testing"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/relayer"
 )
 
--- a/internal/traffic/listener/service.go
+++ b/internal/traffic/listener/service.go
@@ -11,7 +11,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"pomelotiller/internal/config/loader"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/traffic/recorder"
 	"pomelotiller/internal/traffic/refuser"
 )
--- a/internal/traffic/recorder/adopter.go
+++ b/internal/traffic/recorder/adopter.go
@@ -16,7 +16,7 @@
 	"pomelotiller/internal/fleet/ranker"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 )
 
 const (
--- a/internal/traffic/recorder/fakes_test.go
+++ b/internal/traffic/recorder/fakes_test.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/traffic/refuser"
 )
 
--- a/internal/traffic/recorder/gates_test.go
+++ b/internal/traffic/recorder/gates_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"pomelotiller/internal/fleet/messenger"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/traffic/refuser"
 )
 
--- a/internal/traffic/recorder/journal.go
+++ b/internal/traffic/recorder/journal.go
@@ -11,7 +11,7 @@
 
 	"github.com/google/uuid"
 
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 )
 
 // JournalPrefix starts the keys of the journals in the store.
--- a/internal/traffic/recorder/recorder.go
+++ b/internal/traffic/recorder/recorder.go
@@ -14,7 +14,7 @@
 
 	"github.com/google/uuid"
 
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/traffic/refuser"
 )
 
--- a/internal/traffic/recorder/recorder_test.go
+++ b/internal/traffic/recorder/recorder_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/standin/keeper"
 	"pomelotiller/internal/traffic/refuser"
 )
--- a/internal/traffic/recorder/runner.go
+++ b/internal/traffic/recorder/runner.go
@@ -17,7 +17,7 @@
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/observe/tracer"
-	"pomelotiller/internal/platform/storer"
+	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/router"
 )
--- a/internal/traffic/recorder/sender.go
+++ b/internal/traffic/recorder/sender.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/refuser"
 )
 
--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -13,7 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"pomelotiller/internal/observe/meter"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/router"
 )
--- a/internal/traffic/relayer/outcome.go
+++ b/internal/traffic/relayer/outcome.go
@@ -8,7 +8,7 @@
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/router"
 )
 
--- a/internal/traffic/relayer/outcome_test.go
+++ b/internal/traffic/relayer/outcome_test.go
@@ -6,7 +6,7 @@
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/standin/generator"
 )
 
--- a/internal/traffic/relayer/outlier.go
+++ b/internal/traffic/relayer/outlier.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 const (
--- a/internal/traffic/relayer/outlier_test.go
+++ b/internal/traffic/relayer/outlier_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/standin/generator"
 	"pomelotiller/internal/traffic/router"
 )
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -18,7 +18,7 @@
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/observe/tracer"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/router"
 )
--- a/internal/traffic/relayer/relayer_test.go
+++ b/internal/traffic/relayer/relayer_test.go
@@ -18,7 +18,7 @@
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/tracer"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/standin/faulter"
 	"pomelotiller/internal/standin/generator"
 	"pomelotiller/internal/traffic/refuser"
--- a/internal/traffic/router/index.go
+++ b/internal/traffic/router/index.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 const (
--- a/internal/traffic/router/policy.go
+++ b/internal/traffic/router/policy.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 // policies are the policies that settings can name.
--- a/internal/traffic/router/router.go
+++ b/internal/traffic/router/router.go
@@ -12,7 +12,7 @@
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 // Errors of a choice.
--- a/internal/traffic/router/router_test.go
+++ b/internal/traffic/router/router_test.go
@@ -9,7 +9,7 @@
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/fleet/viewer"
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 var testRoute = loader.Route{Name: "chat", Versions: []loader.Share{{Version: "v", Share: 100}}}
--- a/internal/traffic/router/work.go
+++ b/internal/traffic/router/work.go
@@ -8,7 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"pomelotiller/internal/platform/inferrer"
+	"pomelotiller/internal/remote/inferrer"
 )
 
 // work is what daemons have in flight on an endpoint.
