--- a/cmd/pomelotiller/serve.go
+++ b/cmd/pomelotiller/serve.go
@@ -1,14 +1,21 @@
 package main
 
 import (
+	"cmp"
 	"context"
+	"os"
 
 	"github.com/spf13/cobra"
 
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/daemon/assembler"
+	"pomelotiller/internal/daemon/composer"
+	"pomelotiller/platform"
 )
 
+// settingsVariable names the environment variable with the path of the settings.
+const settingsVariable = "POMELOTILLER_CONFIG"
+
 // serveVerb returns the verb that runs a daemon.
 func serveVerb() *cobra.Command {
 	var settings string
@@ -26,6 +33,13 @@
 			if err != nil {
 				return err
 			}
+			if s.Edge != nil {
+				d, err := composer.New(context.WithoutCancel(ctx), composer.Config{Settings: s, Adapter: platform.NewAdapter(s), Out: cmd.OutOrStdout()})
+				if err != nil {
+					return err
+				}
+				return d.Run(ctx)
+			}
 			d, err := assembler.New(context.WithoutCancel(ctx), assembler.Config{Settings: s, Out: cmd.ErrOrStderr()})
 			if err != nil {
 				return err
@@ -33,6 +47,6 @@
 			return d.Run(ctx)
 		}).run,
 	}
-	cmd.Flags().StringVarP(&settings, "config", "c", "settings.yaml", "the daemon's settings")
+	cmd.Flags().StringVarP(&settings, "config", "c", cmp.Or(os.Getenv(settingsVariable), "settings.yaml"), "the daemon's settings")
 	return cmd
 }
--- /dev/null
+++ b/internal/config/loader/edge.go
@@ -0,0 +1,78 @@
+package loader
+
+// Edge is the part of a daemon's settings that serves a platform which keeps
+// the configuration and the list of endpoints in its store.
+type Edge struct {
+	// Ready is the address at which a balancer asks whether to send callers.
+	Ready string `yaml:"ready"`
+	// Cloud is the address of the platform's API for duties.
+	Cloud string `yaml:"cloud"`
+	// Domains are the failure domains in which endpoints may be ordered.
+	Domains []string `yaml:"domains"`
+	// First says that the whole fleet starts for the first time.
+	First bool `yaml:"first"`
+	// Duties are the duties that the platform asks for.
+	Duties []string `yaml:"duties"`
+	// Grace is the time between the signal to stop and the end by force.
+	Grace Duration `yaml:"grace"`
+	// Lease is how long after its last call a holder of a duty may be replaced.
+	Lease Duration `yaml:"lease"`
+	// Watch is how long the store may hold a watch open.
+	Watch Duration `yaml:"watch"`
+	// Usage says how usage is counted and reported.
+	Usage Usage `yaml:"usage"`
+	// Retries bound the requests that are sent to a second endpoint.
+	Retries Retries `yaml:"retries"`
+	// Exposure bounds what a new release may get before it is trusted.
+	Exposure Exposure `yaml:"exposure"`
+}
+
+// Usage says how usage is counted and reported.
+type Usage struct {
+	// Window is the span of one report.
+	Window Duration `yaml:"window"`
+	// Late is how long after its end a window may be reported.
+	Late Duration `yaml:"late"`
+}
+
+// Retries bound the requests that are sent to a second endpoint.
+type Retries struct {
+	// Ratio is the retries for each request.
+	Ratio float64 `yaml:"ratio"`
+	// Window is the span over which they are counted.
+	Window Duration `yaml:"window"`
+	// Extra is the retries in a window beside the ratio, over all daemons.
+	Extra float64 `yaml:"extra"`
+}
+
+// Exposure bounds what a new release may get before it is trusted.
+type Exposure struct {
+	// Share is the part of a service's requests, from 0 to 1.
+	Share float64 `yaml:"share"`
+	// Extra is requests beside the share.
+	Extra int `yaml:"extra"`
+}
+
+// check reports what is missing for serving such a platform.
+func (e *Edge) check() []Fault {
+	var faults []Fault
+	missing := func(field, want string) {
+		faults = append(faults, Fault{Object: "settings", Field: "edge." + field, Problem: "is missing", Want: want})
+	}
+	if e.Ready == "" {
+		missing("ready", "an address such as 10.0.0.1:8084")
+	}
+	if e.Grace <= 0 {
+		missing("grace", "a duration such as 8s")
+	}
+	if e.Watch <= 0 {
+		missing("watch", "a duration such as 10s")
+	}
+	if e.Usage.Window <= 0 {
+		missing("usage.window", "a duration such as 5s")
+	}
+	if e.Retries.Window <= 0 {
+		missing("retries.window", "a duration such as 10s")
+	}
+	return faults
+}
--- a/internal/config/loader/fields.go
+++ b/internal/config/loader/fields.go
@@ -53,6 +53,11 @@
 		*at, err = time.Parse(time.RFC3339, text)
 		return err
 	}
+	if v.Kind() == reflect.Pointer {
+		// The YAML library leaves a pointer to a pointer untouched.
+		v.Set(reflect.New(v.Type().Elem()))
+		return yaml.NodeToValue(n, v.Interface(), yaml.Strict())
+	}
 	return yaml.NodeToValue(n, v.Addr().Interface(), yaml.Strict())
 }
 
--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -38,6 +38,9 @@
 	Drain Duration `yaml:"drain,omitempty"`
 	// Policy is the routing policy; empty is "predicted".
 	Policy string `yaml:"policy,omitempty"`
+	// Edge is set where the platform keeps configuration and endpoints in its
+	// store; key material is then made by the daemons themselves.
+	Edge *Edge `yaml:"edge,omitempty"`
 }
 
 // TLS names files in PEM form.
@@ -107,10 +110,13 @@
 		{"tls.key", s.TLS.Key, "a file with a key in PEM form"},
 		{"tls.ca", s.TLS.CA, "a file with the authority's certificate in PEM form"},
 	} {
-		if f.value == "" {
+		if f.value == "" && (s.Edge == nil || !strings.HasPrefix(f.field, "tls.")) {
 			faults = append(faults, Fault{Object: "settings", Field: f.field, Problem: "is missing", Want: f.want})
 		}
 	}
+	if s.Edge != nil {
+		faults = append(faults, s.Edge.check()...)
+	}
 	return append(faults, s.checkObservation()...)
 }
 
--- /dev/null
+++ b/internal/control/accounter/accounter.go
@@ -0,0 +1,177 @@
+package accounter
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"pomelotiller/internal/control/dutykeeper"
+	"pomelotiller/internal/observe/meter"
+	"pomelotiller/internal/remote/storer"
+)
+
+const (
+	// Prefix starts the keys of reports in the store.
+	Prefix = "usage/"
+	// settleTime is how long after the end of a window its counts may still
+	// arrive.
+	settleTime = 1500 * time.Millisecond
+	// retryPeriod is the time between two tries of one report.
+	retryPeriod = 700 * time.Millisecond
+	// cleanAge is how many windows a report stays in the store.
+	cleanAge = 12
+)
+
+// Report is the usage of one window.
+type Report struct {
+	Window int64          `json:"window"`
+	Counts map[string]int `json:"counts"`
+}
+
+// Reporter sends reports to the platform.
+type Reporter interface {
+	// Report sends a report; an error that wraps dutykeeper.ErrFenced says
+	// that a later holder has acted.
+	Report(ctx context.Context, f dutykeeper.Fence, r Report) error
+}
+
+// Duty is the part of the duty's keeper that an Accounter needs.
+type Duty interface {
+	Fence(duty string) (dutykeeper.Fence, bool)
+	Yield(ctx context.Context, duty string)
+}
+
+// Config configures an Accounter.
+type Config struct {
+	Duty string
+	// Late is how long after its end a window may be reported.
+	Late     time.Duration
+	Keeper   Duty
+	Counter  *Counter
+	Store    storer.Store
+	Reporter Reporter
+	Logger   log.Logger
+	Registry metrics.Registry
+}
+
+// Accounter reports the usage of past windows while this daemon has the duty.
+type Accounter struct {
+	cfg Config
+	// sent is the latest window up to which all are reported.
+	sent  int64
+	tried map[int64]time.Time
+}
+
+// New returns an accounter.
+func New(cfg Config) *Accounter { return &Accounter{cfg: cfg, tried: make(map[int64]time.Time)} }
+
+// Tick reports what is due.
+func (a *Accounter) Tick(ctx context.Context) {
+	now := time.Now()
+	a.cfg.Counter.Forget(now)
+	f, ok := a.cfg.Keeper.Fence(a.cfg.Duty)
+	if !ok {
+		return
+	}
+	c := a.cfg.Counter
+	current := c.Window(now)
+	for w := max(a.sent+1, current-keptWindows); w < current; w++ {
+		if now.Sub(c.End(w)) < settleTime || now.Sub(a.tried[w]) < retryPeriod {
+			continue
+		}
+		if now.Sub(c.End(w)) > a.cfg.Late {
+			a.log("msg", "usage window missed", "window", w, "late", now.Sub(c.End(w)))
+			a.done(w)
+			continue
+		}
+		a.tried[w] = now
+		if err := a.report(ctx, f, w); err != nil {
+			meter.Count(a.cfg.Registry, 1, "usage_report_failures_total")
+			a.log("msg", "usage not reported", "window", w, "fence", f.Number, "error", err)
+			if errors.Is(err, dutykeeper.ErrFenced) {
+				a.cfg.Keeper.Yield(ctx, a.cfg.Duty)
+				return
+			}
+			continue
+		}
+		a.done(w)
+	}
+}
+
+// done notes that a window needs no more work. Windows are done in order, or
+// are older than any that would still be sent.
+func (a *Accounter) done(w int64) {
+	delete(a.tried, w)
+	if w == a.sent+1 || a.sent < w-keptWindows {
+		a.sent = w
+	}
+}
+
+// report fixes the counts of a window and sends them.
+func (a *Accounter) report(ctx context.Context, f dutykeeper.Fence, w int64) error {
+	r, err := a.fix(ctx, w)
+	if err != nil {
+		return err
+	}
+	// The duty may have gone to another daemon meanwhile.
+	if current, ok := a.cfg.Keeper.Fence(a.cfg.Duty); !ok || current != f {
+		return errors.New("duty was lost")
+	}
+	if err := a.cfg.Reporter.Report(ctx, f, r); err != nil {
+		return fmt.Errorf("report window %d: %w", w, err)
+	}
+	meter.Count(a.cfg.Registry, 1, "usage_reports_total")
+	total := 0
+	for _, n := range r.Counts {
+		total += n
+	}
+	a.log("msg", "usage reported", "window", w, "fence", f.Number, "organisations", len(r.Counts), "requests", total)
+	return nil
+}
+
+// fix writes the report of a window, or returns the one that was written.
+func (a *Accounter) fix(ctx context.Context, w int64) (Report, error) {
+	r := Report{Window: w, Counts: a.cfg.Counter.Counts(w)}
+	b, err := json.Marshal(r)
+	if err != nil {
+		return r, err
+	}
+	_, err = a.cfg.Store.Swap(ctx, storer.Write{Key: key(w), Value: b})
+	var conflict *storer.ConflictError
+	if errors.As(err, &conflict) && len(conflict.Current.Value) > 0 {
+		return r, json.Unmarshal(conflict.Current.Value, &r)
+	}
+	if err != nil {
+		return r, fmt.Errorf("fix window %d: %w", w, err)
+	}
+	a.clean(ctx, w)
+	return r, nil
+}
+
+// clean deletes an old report, so that the store does not fill up.
+func (a *Accounter) clean(ctx context.Context, w int64) {
+	e, err := a.cfg.Store.Get(ctx, key(w-cleanAge))
+	if errors.Is(err, storer.ErrNotFound) {
+		return
+	}
+	if err == nil {
+		_, err = a.cfg.Store.Swap(ctx, storer.Write{Key: e.Key, Expect: e.Revision, Delete: true})
+	}
+	if err != nil {
+		a.log("msg", "old usage report not deleted", "window", w-cleanAge, "error", err)
+	}
+}
+
+func key(w int64) string { return Prefix + strconv.FormatInt(w, 10) }
+
+func (a *Accounter) log(fields ...any) {
+	// A logger that fails has nowhere to say so.
+	_ = level.Info(a.cfg.Logger).Log(fields...)
+}
--- a/internal/control/dutykeeper/dutykeeper.go
+++ b/internal/control/dutykeeper/dutykeeper.go
@@ -57,6 +57,17 @@
 	Epoch uint64 `json:"epoch"`
 }
 
+// ErrFenced says that a call carried an older fencing number than another one
+// before it.
+var ErrFenced = errors.New("fencing number is too old")
+
+// Fence is what a call made under a duty carries.
+type Fence struct {
+	Holder string
+	// Number is the epoch of the duty.
+	Number uint64
+}
+
 // Grant is a duty held by this daemon.
 type Grant struct {
 	Epoch uint64
@@ -135,6 +146,19 @@
 	return h.Grant, true
 }
 
+// Fence returns what calls under a duty that this daemon holds must carry.
+func (k *Keeper) Fence(duty string) (Fence, bool) {
+	g, ok := k.Held(duty)
+	return Fence{Holder: k.cfg.Self, Number: g.Epoch}, ok
+}
+
+// Yield gives a duty back, since a call under it was fenced.
+func (k *Keeper) Yield(ctx context.Context, duty string) {
+	if k.get(duty) != nil {
+		k.release(ctx, duty)
+	}
+}
+
 // Release gives all duties back.
 func (k *Keeper) Release(ctx context.Context) {
 	k.mu.Lock()
@@ -229,6 +253,9 @@
 
 func (k *Keeper) release(ctx context.Context, duty string) {
 	h := k.get(duty)
+	if h == nil {
+		return
+	}
 	k.drop(duty, "given back")
 	if err := k.cfg.Store.Revoke(ctx, h.lease); err != nil {
 		// The lease lapses by itself.
--- /dev/null
+++ b/internal/control/scaler/planner.go
@@ -0,0 +1,93 @@
+package scaler
+
+import (
+	"math"
+	"time"
+
+	"pomelotiller/internal/config/registrar"
+)
+
+const (
+	// fullness is the part of the engines' time that reading prompts may take.
+	fullness = 0.45
+	// slotFullness is the part of the slots that may be in use.
+	slotFullness = 0.5
+	// standingShare is the part of the endpoints that must not be reclaimable.
+	standingShare = 0.34
+	// shrinkDelay is how long fewer endpoints must suffice before some are
+	// given back.
+	shrinkDelay = 4 * time.Second
+	// spareDomains is how many domains' reclaimable endpoints may go at once
+	// without the rest being overloaded.
+	spareDomains = 1
+)
+
+// Load is what is asked of a service by all daemons.
+type Load struct {
+	// Prompt is tokens to be read a second, Pace those that one endpoint reads.
+	Prompt, Pace float64
+	// Running is requests in flight.
+	Running float64
+}
+
+// planner decides on the endpoints of one service.
+type planner struct {
+	need  int
+	lower time.Time
+}
+
+// endpointsFor returns how many endpoints a load needs.
+func endpointsFor(svc registrar.Service, l Load) int {
+	n := 0.0
+	if l.Pace > 0 {
+		n = l.Prompt / (l.Pace * fullness)
+	}
+	n = max(n, l.Running/(float64(max(svc.Engine.Slots, 1))*slotFullness))
+	return int(math.Ceil(n))
+}
+
+// plan returns the orders that bring the service to what it needs.
+func (p *planner) plan(svc registrar.Service, domains []string, _ map[subject]int, l Load, now time.Time) []Order {
+	need := endpointsFor(svc, l)
+	switch {
+	case need >= p.need:
+		p.need, p.lower = need, time.Time{}
+	case p.lower.IsZero():
+		p.lower = now
+	case now.Sub(p.lower) > shrinkDelay:
+		p.need, p.lower = need, time.Time{}
+	}
+	return spread(svc, domains, p.need)
+}
+
+// spread divides endpoints among the domains, cheaper ones first, with a part
+// in each that is not reclaimable.
+func spread(svc registrar.Service, domains []string, need int) []Order {
+	sc := svc.Scaling
+	sorted := sortedDomains(domains, sc.Prices)
+	var out []Order
+	left := max(need, sc.Min*len(sorted))
+	for i, d := range sorted {
+		n := int(math.Ceil(float64(left) / float64(len(sorted)-i)))
+		n = min(max(n, sc.Min), sc.Max)
+		left -= n
+		standing := n
+		if sc.SpotPrice > 0 {
+			standing = min(n, max(sc.Min, int(math.Ceil(standingShare*float64(n)))))
+		}
+		out = append(out, Order{svc.Name, d, false, standing})
+		if sc.SpotPrice > 0 {
+			out = append(out, Order{svc.Name, d, true, min(n-standing+spareOf(n, len(sorted)), sc.Max-standing)})
+		}
+	}
+	return out
+}
+
+// spareOf returns the reclaimable endpoints beside the need of a domain that
+// make up for the loss of another domain's.
+func spareOf(n, domains int) int {
+	if domains <= spareDomains {
+		return 0
+	}
+	return int(math.Ceil(float64(n) * (1 - standingShare) * spareDomains / float64(domains-spareDomains) / 2))
+}
--- /dev/null
+++ b/internal/control/scaler/scaler.go
@@ -0,0 +1,202 @@
+// Package scaler orders the endpoints of services from the platform: how many
+// in each failure domain, and how many of them reclaimable.
+package scaler
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"pomelotiller/internal/config/registrar"
+	"pomelotiller/internal/control/dutykeeper"
+	"pomelotiller/internal/fleet/tracker"
+	"pomelotiller/internal/observe/meter"
+)
+
+// ErrRefused says that the platform does not carry out an order, since it has
+// no such endpoints at present or since the fencing number is too old.
+var ErrRefused = errors.New("order refused")
+
+const (
+	// refusedPause is how long a refused order is not repeated.
+	refusedPause = 2 * time.Second
+	// repeatPeriod is how often an order is given again whose endpoints have
+	// not come.
+	repeatPeriod = 6 * time.Second
+	// startTime is how long a new holder watches before it orders fewer.
+	startTime = 2 * time.Second
+)
+
+// Order is a number of endpoints of one kind in one failure domain.
+type Order struct {
+	Service string
+	Domain  string
+	Spot    bool
+	Count   int
+}
+
+// Orderer gives orders to the platform.
+type Orderer interface {
+	Order(ctx context.Context, f dutykeeper.Fence, o Order) error
+}
+
+// Duty is the part of the duty's keeper that a Scaler needs.
+type Duty interface {
+	Fence(duty string) (dutykeeper.Fence, bool)
+	Yield(ctx context.Context, duty string)
+}
+
+// Config configures a Scaler.
+type Config struct {
+	Duty      string
+	Keeper    Duty
+	Orderer   Orderer
+	Domains   []string
+	Catalog   func() *registrar.Catalog
+	Endpoints func() *tracker.Snapshot
+	// Load returns what is asked of a service at present.
+	Load     func(service string) Load
+	Logger   log.Logger
+	Registry metrics.Registry
+}
+
+// Scaler gives orders while this daemon has the duty.
+type Scaler struct {
+	cfg   Config
+	given map[subject]given
+	since time.Time
+	fence dutykeeper.Fence
+	plans map[string]*planner
+}
+
+// subject is what one order is about.
+type subject struct {
+	service, domain string
+	spot            bool
+}
+
+// given is the latest order about a subject.
+type given struct {
+	count   int
+	at      time.Time
+	refused bool
+}
+
+// New returns a scaler.
+func New(cfg Config) *Scaler {
+	return &Scaler{cfg: cfg, given: make(map[subject]given), plans: make(map[string]*planner)}
+}
+
+// Tick orders what has changed.
+func (s *Scaler) Tick(ctx context.Context) {
+	cat := s.cfg.Catalog()
+	if cat == nil {
+		return
+	}
+	now := time.Now()
+	f, held := s.cfg.Keeper.Fence(s.cfg.Duty)
+	if f != s.fence {
+		s.fence, s.since = f, now
+		clear(s.given)
+	}
+	for _, svc := range cat.Services {
+		if svc.Scaling == nil || svc.Engine == nil {
+			continue
+		}
+		p := s.plans[svc.Name]
+		if p == nil {
+			p = &planner{}
+			s.plans[svc.Name] = p
+		}
+		present := s.count(svc)
+		targets := p.plan(svc, s.cfg.Domains, present, s.cfg.Load(svc.Name), now)
+		if !held {
+			continue
+		}
+		for _, o := range targets {
+			if !s.give(ctx, f, o, present, now) {
+				return
+			}
+		}
+	}
+}
+
+// count returns the endpoints of a service that take work, by kind and domain.
+func (s *Scaler) count(svc registrar.Service) map[subject]int {
+	out := make(map[subject]int)
+	for _, e := range s.cfg.Endpoints().Services[svc.Name] {
+		out[subject{svc.Name, e.Domain, e.Spot}]++
+	}
+	return out
+}
+
+// give sends one order if it is due, and reports whether the duty is kept.
+func (s *Scaler) give(ctx context.Context, f dutykeeper.Fence, o Order, present map[subject]int, now time.Time) bool {
+	sub := subject{o.Service, o.Domain, o.Spot}
+	last, known := s.given[sub]
+	have := present[sub]
+	switch {
+	case known && last.refused && now.Sub(last.at) < refusedPause:
+		return true
+	case known && !last.refused && last.count == o.Count && (have >= o.Count || now.Sub(last.at) < repeatPeriod):
+		return true
+	case !known && have == o.Count:
+		return true
+	case o.Count < have && now.Sub(s.since) < startTime:
+		return true
+	}
+	err := s.cfg.Orderer.Order(ctx, f, o)
+	s.given[sub] = given{o.Count, now, err != nil}
+	s.log("msg", "endpoints ordered", "service", o.Service, "domain", o.Domain, "spot", o.Spot, "count", o.Count, "present", have,
+		"fence", f.Number, "error", err)
+	meter.Count(s.cfg.Registry, 1, "scale_orders_total")
+	if errors.Is(err, dutykeeper.ErrFenced) {
+		s.cfg.Keeper.Yield(ctx, s.cfg.Duty)
+		return false
+	}
+	return true
+}
+
+func (s *Scaler) log(fields ...any) {
+	// A logger that fails has nowhere to say so.
+	_ = level.Info(s.cfg.Logger).Log(fields...)
+}
+
+// sortedDomains returns the domains from the cheapest to the dearest.
+func sortedDomains(domains []string, prices map[string]float64) []string {
+	out := slices.Clone(domains)
+	slices.SortStableFunc(out, func(a, b string) int {
+		pa, pb := price(prices, a), price(prices, b)
+		switch {
+		case pa < pb:
+			return -1
+		case pa > pb:
+			return 1
+		}
+		return strings.Compare(a, b)
+	})
+	return out
+}
+
+func price(prices map[string]float64, domain string) float64 {
+	if p, ok := prices[domain]; ok {
+		return p
+	}
+	return 1
+}
+
+// total sums up the counts of all subjects.
+func total(counts map[subject]int) int {
+	n := 0
+	for v := range maps.Values(counts) {
+		n += v
+	}
+	return n
+}
--- /dev/null
+++ b/internal/daemon/composer/knowledge.go
@@ -0,0 +1,325 @@
+package composer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"pomelotiller/internal/control/roller"
+	"pomelotiller/internal/control/scaler"
+	"pomelotiller/internal/fleet/issuer"
+	"pomelotiller/internal/fleet/messenger"
+	"pomelotiller/internal/fleet/sharer"
+	"pomelotiller/internal/fleet/ticker"
+	"pomelotiller/internal/fleet/tracker"
+	"pomelotiller/internal/remote/storer"
+)
+
+const (
+	// memberPrefix starts the keys under which daemons leave their addresses.
+	memberPrefix = "fleet/members/"
+	joinDelay    = 200 * time.Millisecond
+	slowPeriod   = 500 * time.Millisecond
+	fastPeriod   = 50 * time.Millisecond
+	dutyPeriod   = 200 * time.Millisecond
+)
+
+// applyOperator brings what the operator wrote into force.
+func (d *Daemon) applyOperator(changed []storer.Entry, _ bool) {
+	for _, e := range changed {
+		if d.cfg.Adapter.IsCatalog(e.Key) {
+			d.applyCatalog(e)
+			continue
+		}
+		o, ok, err := d.cfg.Adapter.Move(e)
+		if err != nil {
+			d.log("msg", "move not readable", "key", e.Key, "revision", e.Revision, "error", err)
+			continue
+		}
+		if ok {
+			d.roller.Apply(o)
+		}
+	}
+}
+
+func (d *Daemon) applyCatalog(e storer.Entry) {
+	if e.Deleted {
+		d.log("msg", "configuration deleted", "revision", e.Revision, "outcome", "kept")
+		return
+	}
+	c, err := d.cfg.Adapter.Catalog(e)
+	if err != nil {
+		d.log("msg", "configuration not readable", "revision", e.Revision, "outcome", "former kept", "error", err)
+		return
+	}
+	if old := d.catalog.Load(); old != nil && old.Version >= c.Version {
+		d.log("msg", "configuration refused", "version", c.Version, "in_force", old.Version, "revision", e.Revision, "outcome", "former kept")
+		return
+	}
+	d.catalog.Store(&c)
+	d.allowances.Configure(c.Organisations, time.Now())
+	d.log("msg", "configuration in force", "version", c.Version, "revision", e.Revision, "routes", len(c.Routes), "services", len(c.Services),
+		"organisations", len(c.Organisations))
+	d.sharer.Hasten()
+}
+
+func (d *Daemon) applyEndpoints(changed []storer.Entry, stale bool) {
+	changes := make([]tracker.Change, 0, len(changed))
+	for _, e := range changed {
+		changes = append(changes, d.cfg.Adapter.Endpoint(e))
+	}
+	d.tracker.Apply(changes, stale)
+}
+
+func (d *Daemon) endpointsChanged() {
+	d.chooser.Forget(d.tracker.Load().All)
+	d.sharer.Hasten()
+}
+
+// releases returns the releases of a service that have endpoints.
+func (d *Daemon) releases(service string) []string {
+	var out []string
+	for _, e := range d.tracker.Load().Services[service] {
+		if !slices.Contains(out, e.Version) {
+			out = append(out, e.Version)
+		}
+	}
+	return out
+}
+
+// load returns what is asked of a service at present.
+func (d *Daemon) load(service string) scaler.Load {
+	return scaler.Load{
+		Prompt: d.gauge.Prompt(service, time.Now()), Pace: d.chooser.Pace(service),
+		Running: float64(d.chooser.Running(d.tracker.Load().Services[service])),
+	}
+}
+
+// fill completes the status that goes to the other daemons.
+func (d *Daemon) fill(s *sharer.Status) {
+	s.Loads = d.chooser.Loads()
+	for org, total := range d.allowances.Totals() {
+		s.Spent = append(s.Spent, sharer.Spent{Organisation: org, Total: total})
+	}
+	s.Windows = d.counter.Shared()
+	s.Demands = d.gauge.Shared()
+	s.Trials, s.Moves = d.roller.Shared()
+}
+
+// heard takes in a status of another daemon.
+func (d *Daemon) heard(old, current *sharer.Peer) {
+	d.chooser.SetPeer(current.Name, current.Loads)
+	d.counter.Hear(current.Name, current.Boot, current.Windows)
+	d.gauge.Hear(current.Name, current.Boot, current.Demands)
+	d.roller.Hear(current.Name, current.Trials, current.Moves)
+	d.heardSpent(old, current)
+}
+
+// heardSpent takes from the allowances what another daemon let through since
+// its last status. What it let through before this daemon knew it does not
+// count.
+func (d *Daemon) heardSpent(old, current *sharer.Peer) {
+	if old == nil {
+		return
+	}
+	var quiet time.Duration
+	if old.Silent {
+		quiet = current.Heard.Sub(old.Heard)
+	}
+	before := make(map[string]float64, len(old.Spent))
+	if old.Boot == current.Boot {
+		for _, s := range old.Spent {
+			before[s.Organisation] = s.Total
+		}
+	}
+	now := time.Now()
+	for _, s := range current.Spent {
+		if delta := s.Total - before[s.Organisation]; delta != 0 {
+			d.allowances.Spend(s.Organisation, delta, quiet, now)
+		}
+	}
+}
+
+func (d *Daemon) memberCount() int { return len(d.sharer.Peers()) + 1 }
+
+// runFast keeps what depends on other daemons up to date.
+func (d *Daemon) runFast(ctx context.Context) error {
+	return ticker.Every(ctx, fastPeriod, func(context.Context) {
+		peers := d.sharer.Peers()
+		silent := 0
+		for _, p := range peers {
+			if p.Silent {
+				silent++
+				d.chooser.SetPeer(p.Name, nil)
+			}
+		}
+		d.allowances.SetMembers(len(peers)+1, silent)
+		d.budget.SetMembers(len(peers) + 1)
+	})
+}
+
+// runSlow does what is not urgent.
+func (d *Daemon) runSlow(ctx context.Context) error {
+	return ticker.Every(ctx, slowPeriod, func(context.Context) {
+		d.pool.Tick()
+		d.tracker.Tick()
+		d.server.tick()
+	})
+}
+
+// runDuties does the work of the duties that this daemon has.
+func (d *Daemon) runDuties(ctx context.Context) error {
+	go func() {
+		// The end of ctx is no error.
+		_ = ticker.Every(ctx, dutyPeriod, d.scaler.Tick)
+	}()
+	go func() {
+		_ = ticker.Every(ctx, dutyPeriod, d.roller.Tick)
+	}()
+	return ticker.Every(ctx, dutyPeriod, d.accounter.Tick)
+}
+
+// runPeers gets key material, joins the other daemons and serves them.
+func (d *Daemon) runPeers(ctx context.Context) error {
+	var id messenger.Identity
+	for first := true; ; first = false {
+		var err error
+		if id, err = issuer.Identity(ctx, d.cfg.Adapter.Store, d.cfg.Settings.Name); err == nil {
+			break
+		}
+		if first {
+			d.log("msg", "no key material yet", "error", err)
+		}
+		if !wait(ctx, joinDelay) {
+			return nil
+		}
+	}
+	m, err := messenger.New(messenger.Config{Listen: d.cfg.Settings.Peers, Identity: &id, Registry: d.registry})
+	if err != nil {
+		return err
+	}
+	d.operatorHandlers(m)
+	d.sharer.Contact(d.seeds()...)
+	d.sharer.Attach(m)
+	go d.register(ctx)
+	return m.Run(ctx)
+}
+
+func (d *Daemon) operatorHandlers(m *messenger.Messenger) {
+	m.Handle(d.operator.Kind(), d.operator.Answer)
+	m.Handle(d.endpoints.Kind(), d.endpoints.Answer)
+}
+
+// seeds returns the addresses of daemons that the settings name. They name
+// hosts at other ports; daemons have the same ports everywhere.
+func (d *Daemon) seeds() []string {
+	_, port, err := net.SplitHostPort(d.cfg.Settings.Peers)
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, s := range d.cfg.Settings.Seeds {
+		if host, _, err := net.SplitHostPort(s); err == nil {
+			out = append(out, net.JoinHostPort(host, port))
+		}
+	}
+	return out
+}
+
+// register leaves this daemon's address in the store and reads those of others.
+func (d *Daemon) register(ctx context.Context) {
+	for {
+		err := d.join(ctx)
+		if err == nil || !wait(ctx, joinDelay) {
+			return
+		}
+		d.log("msg", "not registered", "error", err)
+	}
+}
+
+func (d *Daemon) join(ctx context.Context) error {
+	store := d.cfg.Adapter.Store
+	p, err := store.List(ctx, memberPrefix)
+	if err != nil {
+		return err
+	}
+	key := memberPrefix + d.cfg.Settings.Name
+	var expect uint64
+	for _, e := range p.Entries {
+		var addr string
+		if err := json.Unmarshal(e.Value, &addr); err != nil {
+			d.log("msg", "member not readable", "key", e.Key, "error", err)
+			continue
+		}
+		if e.Key == key {
+			expect = e.Revision
+			if addr == d.cfg.Settings.Peers {
+				return nil
+			}
+			continue
+		}
+		d.sharer.Contact(addr)
+	}
+	b, err := json.Marshal(d.cfg.Settings.Peers)
+	if err != nil {
+		return err
+	}
+	_, err = store.Swap(ctx, storer.Write{Key: key, Value: b, Expect: expect})
+	return err
+}
+
+// wait pauses, and reports whether ctx still lasts.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// moveStore keeps the states of moves where the operator reads them.
+type moveStore struct{ a Adapter }
+
+// Publish implements roller.Publisher.
+func (m moveStore) Publish(ctx context.Context, o roller.Order, s roller.State) error {
+	key, value, err := m.a.Status(o.Service, o.Release, s)
+	if err != nil {
+		return err
+	}
+	e, err := m.a.Store.Get(ctx, key)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return err
+	}
+	if string(e.Value) == string(value) {
+		return nil
+	}
+	if _, err = m.a.Store.Swap(ctx, storer.Write{Key: key, Value: value, Expect: e.Revision}); err != nil {
+		return fmt.Errorf("write state of move: %w", err)
+	}
+	return nil
+}
+
+// Published implements roller.Publisher.
+func (m moveStore) Published(ctx context.Context, o roller.Order) (roller.State, bool, error) {
+	key, _, err := m.a.Status(o.Service, o.Release, roller.StateActive)
+	if err != nil {
+		return roller.StateActive, false, err
+	}
+	e, err := m.a.Store.Get(ctx, key)
+	if errors.Is(err, storer.ErrNotFound) {
+		return roller.StateActive, false, nil
+	}
+	if err != nil {
+		return roller.StateActive, false, err
+	}
+	release, s, err := m.a.State(e.Value)
+	// A state that is older than the order is that of an earlier move.
+	return s, err == nil && release == o.Release && e.Revision > o.Revision, err
+}
--- a/internal/fleet/messenger/material.go
+++ b/internal/fleet/messenger/material.go
@@ -11,7 +11,8 @@
 
 const (
 	protocolName = "pomelotiller/1"
-	serverName   = "pomelotiller"
+	// ServerName is the name that the certificates of daemons carry.
+	ServerName = "pomelotiller"
 	// reloadPeriod is the time between looks at the files of the key material.
 	reloadPeriod = time.Second
 )
@@ -37,6 +38,10 @@
 
 func newMaterial(cfg Config) (*material, error) {
 	m := &material{cfg: cfg}
+	if id := cfg.Identity; id != nil {
+		m.current.Store(&loaded{tls: newTLS(id.Cert, id.Authorities), pool: id.Authorities})
+		return m, nil
+	}
 	_, err := m.reload()
 	return m, err
 }
@@ -45,6 +50,9 @@
 // Files that do not fit one another, for example because only some of them were
 // replaced yet, leave the present material in force.
 func (m *material) reload() (bool, error) {
+	if m.cfg.Identity != nil {
+		return false, nil
+	}
 	stamps, err := m.stamps()
 	if err != nil {
 		return false, err
@@ -102,7 +110,7 @@
 		intermediates.AddCert(c)
 	}
 	_, err := s.PeerCertificates[0].Verify(x509.VerifyOptions{
-		DNSName: serverName, Roots: m.current.Load().pool, Intermediates: intermediates,
+		DNSName: ServerName, Roots: m.current.Load().pool, Intermediates: intermediates,
 		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
 	})
 	return err == nil
@@ -111,13 +119,13 @@
 func newTLS(cert tls.Certificate, pool *x509.CertPool) *tls.Config {
 	return &tls.Config{
 		Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool,
-		ClientAuth: tls.RequireAndVerifyClientCert, ServerName: serverName,
+		ClientAuth: tls.RequireAndVerifyClientCert, ServerName: ServerName,
 		NextProtos: []string{protocolName}, MinVersion: tls.VersionTLS13,
 		// A resumed session would pass by a change of the authority.
 		SessionTicketsDisabled: true,
 		// The authority may issue certificates for other uses too.
 		VerifyConnection: func(s tls.ConnectionState) error {
-			return s.PeerCertificates[0].VerifyHostname(serverName)
+			return s.PeerCertificates[0].VerifyHostname(ServerName)
 		},
 	}
 }
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"net"
@@ -34,12 +36,20 @@
 	Listen string
 	// Cert, Key and CA name files in PEM form.
 	Cert, Key, CA string
+	// Identity replaces the files where a host has none; may be nil.
+	Identity *Identity
 	// Failed is called with an error of reading the files anew; may be nil.
 	Failed func(error)
 	// Registry receives gauges of the traffic; may be nil.
 	Registry metrics.Registry
 }
 
+// Identity is key material that is kept in memory.
+type Identity struct {
+	Cert        tls.Certificate
+	Authorities *x509.CertPool
+}
+
 // Messenger sends and receives messages. All methods are safe for concurrent
 // use.
 type Messenger struct {
--- /dev/null
+++ b/internal/fleet/syncer/syncer.go
@@ -0,0 +1,289 @@
+// Package syncer keeps a copy of a part of the platform's store at each daemon.
+// It follows the store by a watch and, where the store does not answer this
+// daemon, takes the changes from another daemon that has them.
+package syncer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"pomelotiller/internal/fleet/ticker"
+	"pomelotiller/internal/observe/meter"
+	"pomelotiller/internal/remote/storer"
+)
+
+const (
+	// pullPeriod is the time between two looks at what others have.
+	pullPeriod = 100 * time.Millisecond
+	// pullDelay is how long a daemon waits for its own watch before it asks
+	// another daemon.
+	pullDelay   = 150 * time.Millisecond
+	pullTimeout = 800 * time.Millisecond
+	// firstDelay and lastDelay bound the pause after a failed call to the
+	// store.
+	firstDelay = 50 * time.Millisecond
+	lastDelay  = 400 * time.Millisecond
+)
+
+// Peers are the other daemons as far as a syncer needs them.
+type Peers interface {
+	// Ahead returns the address of a daemon that knows a later revision of a
+	// part, or nothing.
+	Ahead(part string, revision uint64) string
+	// Call sends a message and returns its answer.
+	Call(ctx context.Context, addr, kind string, body []byte) ([]byte, error)
+	// Revised is told of each revision that this daemon comes to know.
+	Revised(part string, revision uint64)
+}
+
+// Config configures a Syncer.
+type Config struct {
+	Store  storer.Store
+	Prefix string
+	Peers  Peers
+	// Apply is told of changed and deleted entries, in turn, never at once.
+	Apply    func(changed []storer.Entry, stale bool)
+	Logger   log.Logger
+	Registry metrics.Registry
+}
+
+// Syncer is the copy of one prefix.
+type Syncer struct {
+	cfg Config
+
+	mu       sync.Mutex
+	entries  map[string]storer.Entry
+	revision uint64
+	// loaded says that the copy was complete at some moment.
+	loaded bool
+	// failing is since when the store has not answered; zero if it does.
+	failing time.Time
+	behind  time.Time
+
+	apply sync.Mutex
+}
+
+// New returns an empty copy.
+func New(cfg Config) *Syncer {
+	return &Syncer{cfg: cfg, entries: make(map[string]storer.Entry)}
+}
+
+// Kind is the kind of message by which another daemon asks for changes.
+func (s *Syncer) Kind() string { return "sync/" + s.cfg.Prefix }
+
+// Loaded reports whether the copy was complete at some moment.
+func (s *Syncer) Loaded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loaded
+}
+
+// Run follows the store until ctx ends.
+func (s *Syncer) Run(ctx context.Context) error {
+	delay := firstDelay
+	relist := true
+	for ctx.Err() == nil {
+		err := s.follow(ctx, relist)
+		switch {
+		case err == nil:
+			relist, delay = false, firstDelay
+		case errors.Is(err, storer.ErrCompacted):
+			relist = true
+			s.log("msg", "store history compacted", "part", s.cfg.Prefix, "outcome", "list again")
+		default:
+			s.failed(err)
+			pause(ctx, delay)
+			delay = min(2*delay, lastDelay)
+		}
+	}
+	return nil
+}
+
+// RunPull takes from other daemons what the store does not tell, until ctx ends.
+func (s *Syncer) RunPull(ctx context.Context) error {
+	return ticker.Every(ctx, pullPeriod, s.pull)
+}
+
+// follow makes one call to the store and takes in what it answers.
+func (s *Syncer) follow(ctx context.Context, relist bool) error {
+	if relist {
+		return s.list(ctx)
+	}
+	p, err := s.cfg.Store.Watch(ctx, s.cfg.Prefix, s.known())
+	if err != nil {
+		return err
+	}
+	s.answered()
+	s.merge(p, false)
+	return nil
+}
+
+func (s *Syncer) list(ctx context.Context) error {
+	p, err := s.cfg.Store.List(ctx, s.cfg.Prefix)
+	if err != nil {
+		return err
+	}
+	s.answered()
+	s.merge(storer.Page{Entries: append(p.Entries, s.missing(p)...), Revision: p.Revision}, true)
+	return nil
+}
+
+// missing returns the entries that the store no longer lists, as deleted.
+func (s *Syncer) missing(p storer.Page) []storer.Entry {
+	listed := make(map[string]bool, len(p.Entries))
+	for _, e := range p.Entries {
+		listed[e.Key] = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var gone []storer.Entry
+	for key, e := range s.entries {
+		if !listed[key] && !e.Deleted && e.Revision <= p.Revision {
+			gone = append(gone, storer.Entry{Key: key, Revision: p.Revision, Deleted: true})
+		}
+	}
+	return gone
+}
+
+func (s *Syncer) known() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// merge takes in the entries that are newer than those known. The revision
+// advances, since a page holds all changes up to its own.
+func (s *Syncer) merge(p storer.Page, relisted bool) {
+	s.apply.Lock()
+	defer s.apply.Unlock()
+	s.mu.Lock()
+	var changed []storer.Entry
+	for _, e := range p.Entries {
+		if old, ok := s.entries[e.Key]; ok && old.Revision >= e.Revision {
+			continue
+		}
+		s.entries[e.Key] = e
+		changed = append(changed, e)
+	}
+	advanced := p.Revision > s.revision || !s.loaded
+	s.revision = max(s.revision, p.Revision)
+	s.loaded = true
+	stale := !s.failing.IsZero()
+	s.mu.Unlock()
+	if advanced {
+		s.cfg.Peers.Revised(s.cfg.Prefix, p.Revision)
+	}
+	if len(changed) > 0 || relisted {
+		s.cfg.Apply(changed, stale)
+	}
+}
+
+func (s *Syncer) answered() {
+	s.mu.Lock()
+	since := s.failing
+	s.failing = time.Time{}
+	s.mu.Unlock()
+	if !since.IsZero() {
+		s.log("msg", "store regained", "part", s.cfg.Prefix, "away", time.Since(since))
+	}
+}
+
+func (s *Syncer) failed(err error) {
+	s.mu.Lock()
+	first := s.failing.IsZero()
+	if first {
+		s.failing = time.Now()
+	}
+	revision := s.revision
+	s.mu.Unlock()
+	meter.Count(s.cfg.Registry, 1, "store_watch_failures_total", "part", s.cfg.Prefix)
+	if first {
+		s.log("msg", "store lost", "part", s.cfg.Prefix, "revision", revision, "error", err)
+	}
+}
+
+// pull asks a daemon that is ahead for what is missing here.
+func (s *Syncer) pull(ctx context.Context) {
+	from := s.known()
+	addr := s.cfg.Peers.Ahead(s.cfg.Prefix, from)
+	if addr == "" {
+		s.behind = time.Time{}
+		return
+	}
+	if s.behind.IsZero() {
+		s.behind = time.Now()
+	}
+	if time.Since(s.behind) < pullDelay {
+		return
+	}
+	s.behind = time.Time{}
+	p, err := s.ask(ctx, addr, from)
+	if err != nil {
+		meter.Count(s.cfg.Registry, 1, "peer_pull_failures_total", "part", s.cfg.Prefix)
+		s.log("msg", "pull failed", "part", s.cfg.Prefix, "peer", addr, "from", from, "error", err)
+		return
+	}
+	meter.Count(s.cfg.Registry, 1, "peer_pulls_total", "part", s.cfg.Prefix)
+	s.merge(p, false)
+}
+
+func (s *Syncer) ask(ctx context.Context, addr string, from uint64) (storer.Page, error) {
+	var p storer.Page
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	in, err := cbor.Marshal(from)
+	if err != nil {
+		return p, err
+	}
+	out, err := s.cfg.Peers.Call(ctx, addr, s.Kind(), in)
+	if err != nil {
+		return p, err
+	}
+	return p, cbor.Unmarshal(out, &p)
+}
+
+// Answer serves another daemon that asks for the changes after a revision. A
+// copy that was never complete has no answer.
+func (s *Syncer) Answer(_ context.Context, body []byte) ([]byte, error) {
+	var from uint64
+	if err := cbor.Unmarshal(body, &from); err != nil {
+		return nil, fmt.Errorf("decode revision: %w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.loaded {
+		return nil, errors.New("copy is not complete")
+	}
+	p := storer.Page{Revision: s.revision}
+	for _, e := range s.entries {
+		if e.Revision > from {
+			p.Entries = append(p.Entries, e)
+		}
+	}
+	slices.SortFunc(p.Entries, func(a, b storer.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return cbor.Marshal(p)
+}
+
+func (s *Syncer) log(fields ...any) {
+	// A logger that fails has nowhere to say so.
+	_ = level.Info(s.cfg.Logger).Log(fields...)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/remote/requester/requester.go
+++ b/internal/remote/requester/requester.go
@@ -65,6 +65,11 @@
 
 // Send is Call with no other bound than ctx.
 func (c *Client) Send(ctx context.Context, method, path string, in any) (Answer, error) {
+	return c.SendWith(ctx, method, path, nil, in)
+}
+
+// SendWith is Send with header fields of the caller's.
+func (c *Client) SendWith(ctx context.Context, method, path string, h http.Header, in any) (Answer, error) {
 	var body io.Reader
 	if in != nil {
 		b, err := json.Marshal(in)
@@ -77,6 +82,9 @@
 	if err != nil {
 		return Answer{}, err
 	}
+	for name, values := range h {
+		req.Header[name] = values
+	}
 	res, err := c.http.Do(req)
 	if err != nil {
 		return Answer{}, err
--- a/internal/remote/storer/client.go
+++ b/internal/remote/storer/client.go
@@ -8,7 +8,6 @@
 	"net/url"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 
 	"pomelotiller/internal/remote/requester"
@@ -18,8 +17,6 @@
 	defaultCallTimeout = 2 * time.Second
 	defaultWatchWait   = 2 * time.Second
 	watchSlack         = 500 * time.Millisecond
-	firstRetryDelay    = 20 * time.Millisecond
-	maxRetryDelay      = 250 * time.Millisecond
 )
 
 // ClientConfig configures a Client.
@@ -68,37 +65,9 @@
 	return e, nil
 }
 
-// Swap implements Store. A lost answer is settled by repeating the same write:
-// the service either applies it now or shows whose write the key holds.
+// Swap implements Store.
 func (c *Client) Swap(ctx context.Context, w Write) (Entry, error) {
-	if w.ID == "" {
-		w.ID = uuid.NewString()
-	}
-	sent := false
-	e, err := backoff.Retry(ctx, func() (Entry, error) {
-		e, err := c.swapOnce(ctx, w)
-		var conflict *ConflictError
-		switch {
-		case errors.As(err, &conflict) && conflict.Current.Write == w.ID:
-			return conflict.Current, nil
-		case errors.As(err, &conflict), errors.Is(err, ErrLeaseLapsed):
-			return Entry{}, backoff.Permanent(err)
-		case err != nil:
-			sent = true
-		}
-		return e, err
-	}, backoff.WithBackOff(retryPolicy()), backoff.WithMaxTries(c.cfg.Attempts))
-	if err == nil {
-		return e, nil
-	}
-	var conflict *ConflictError
-	if errors.As(err, &conflict) && !sent || errors.Is(err, ErrLeaseLapsed) {
-		return Entry{}, err
-	}
-	if errors.As(err, &conflict) {
-		return Entry{}, fmt.Errorf("swap %q: %w", w.Key, errors.Join(ErrUnsettled, err))
-	}
-	return Entry{}, fmt.Errorf("swap %q: %w: %w", w.Key, ErrUnsettled, err)
+	return Settle(ctx, w, c.cfg.Attempts, c.swapOnce)
 }
 
 func (c *Client) swapOnce(ctx context.Context, w Write) (Entry, error) {
@@ -205,10 +174,3 @@
 	}
 	return a.Status, nil
 }
-
-func retryPolicy() *backoff.ExponentialBackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = firstRetryDelay
-	b.MaxInterval = maxRetryDelay
-	return b
-}
--- a/internal/remote/storer/storer.go
+++ b/internal/remote/storer/storer.go
@@ -73,6 +73,9 @@
 	ErrLeaseLapsed = errors.New("lease lapsed")
 	ErrUnavailable = errors.New("store unavailable")
 	ErrUnsettled   = errors.New("write not settled")
+	// ErrCompacted says that a watch asks for changes that the service no
+	// longer knows.
+	ErrCompacted = errors.New("history compacted")
 )
 
 // ConflictError says that a key had another revision than the one expected.
--- /dev/null
+++ b/internal/traffic/carrier/attempt.go
@@ -0,0 +1,270 @@
+package carrier
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"pomelotiller/internal/config/registrar"
+	"pomelotiller/internal/traffic/chooser"
+	"pomelotiller/internal/traffic/dialer"
+	"pomelotiller/internal/traffic/refuser"
+)
+
+const (
+	// maxForeign bounds the answers of other requests that are passed over on
+	// one connection.
+	maxForeign = 3
+	// onceIdle is how long a connection may have been idle that carries a
+	// request which must not be repeated; repeatableIdle is that of others.
+	onceIdle       = 500 * time.Millisecond
+	repeatableIdle = 3 * time.Second
+	// inlineBody is the largest body that is written before the answer is read.
+	inlineBody = 4 << 10
+)
+
+// answer is the head of an endpoint's answer, with its body still to be read.
+type answer struct {
+	res     *http.Response
+	verdict Verdict
+	choice  chooser.Choice
+	// body is the whole body, once it was read.
+	body []byte
+
+	c       *Carrier
+	ctx     context.Context
+	conn    *dialer.Conn
+	track   *chooser.Attempt
+	written chan error
+	cancel  context.CancelFunc
+	sent    time.Time
+	first   time.Time
+	ended   bool
+}
+
+// attempt sends a request to one endpoint and reads the head of its answer.
+func (c *Carrier) attempt(ctx context.Context, q *request, ch chooser.Choice) (*answer, error) {
+	actx, cancel := context.WithCancel(ctx)
+	if p := q.patience(ch); p > 0 {
+		// The timer is stopped once the answer begins.
+		t := time.AfterFunc(p, cancel)
+		defer t.Stop()
+	}
+	a := &answer{c: c, ctx: actx, cancel: cancel, choice: ch, sent: time.Now()}
+	a.track = c.cfg.Chooser.Start(q.query, ch)
+	err := a.open(q)
+	if err == nil {
+		err = a.exchange(q)
+	}
+	if err != nil {
+		a.end(resultOf(ctx, err), false)
+		c.logAttempt(q, a, err)
+		return nil, err
+	}
+	return a, nil
+}
+
+// open gets a connection; nothing has been sent if it fails.
+func (a *answer) open(q *request) error {
+	e := a.choice.Endpoint
+	idle := repeatableIdle
+	if q.route.Kind == registrar.KindOnce {
+		idle = onceIdle
+	}
+	t := dialer.Target{Address: e.Address, Instance: e.ID}
+	if n := q.service.Connections; n > 0 {
+		t.Limit = max(n/max(a.c.cfg.Members(), 1), 2)
+	}
+	conn, err := a.c.cfg.Pool.Get(a.ctx, t, idle)
+	if err != nil {
+		return &attemptError{why: "no connection", err: err}
+	}
+	a.conn = conn
+	return nil
+}
+
+// exchange writes the request and reads the head of the answer to it.
+func (a *answer) exchange(q *request) error {
+	stop := a.watch()
+	a.c.cfg.Trials.Sent(q.service.Name, a.choice.Endpoint.Version)
+	err := a.write(q)
+	why := "request not sent whole"
+	if err == nil {
+		err = a.readHead(q)
+		why = "no answer"
+	}
+	stop()
+	if err != nil {
+		q.state = max(q.state, refuser.Unknown)
+		return &attemptError{run: refuser.Unknown, sent: true, why: why, err: err}
+	}
+	return a.judge(q)
+}
+
+// write sends the request. A long body is sent while the answer is read, since
+// an endpoint may answer before it has read all.
+func (a *answer) write(q *request) error {
+	head := a.head(q)
+	a.written = make(chan error, 1)
+	if len(q.body) <= inlineBody {
+		_, err := a.conn.Write(append(head, q.body...))
+		a.written <- err
+		return err
+	}
+	go func() {
+		_, err := a.conn.Write(append(head, q.body...))
+		a.written <- err
+	}()
+	return nil
+}
+
+func (a *answer) head(q *request) []byte {
+	g := Grant{Left: time.Until(q.end), Organisation: q.org.Name, Instance: a.choice.Endpoint.ID, LastEvent: q.events.last}
+	h := a.c.cfg.Codec.Encode(q.Call, g)
+	b := bytes.NewBuffer(make([]byte, 0, 1024+len(q.body)))
+	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", q.method, q.target, q.host)
+	for _, name := range sortedNames(h) {
+		for _, v := range h[name] {
+			b.WriteString(name + ": " + v + "\r\n")
+		}
+	}
+	if len(q.body) > 0 || q.method != http.MethodGet && q.method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(q.body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+func sortedNames(h http.Header) []string {
+	names := make([]string, 0, len(h))
+	for name := range h {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// readHead reads answers until one belongs to the request.
+func (a *answer) readHead(q *request) error {
+	req := &http.Request{Method: q.method}
+	for range maxForeign {
+		res, err := readResponse(a.conn, req)
+		if err != nil {
+			return err
+		}
+		v := a.c.cfg.Codec.Judge(q.Call, res)
+		if !v.Foreign {
+			a.res, a.verdict = res, v
+			return nil
+		}
+		a.c.logForeign(q, a, res.StatusCode)
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			return fmt.Errorf("pass over the answer of another request: %w", err)
+		}
+		if res.Close {
+			return errors.New("only an answer of another request came")
+		}
+	}
+	return errors.New("too many answers of other requests")
+}
+
+// readResponse reads the head of a final answer.
+func readResponse(conn *dialer.Conn, req *http.Request) (*http.Response, error) {
+	for {
+		res, err := http.ReadResponse(conn.Reader, req)
+		if err != nil || res.StatusCode >= http.StatusOK {
+			return res, err
+		}
+	}
+}
+
+// judge turns answers that promise that the request was not run into errors.
+func (a *answer) judge(q *request) error {
+	if a.verdict.Leaving {
+		e := a.choice.Endpoint
+		a.c.cfg.Leave(e.ID, e.Born, "its answer says so")
+	}
+	if !a.verdict.NotRun {
+		q.state = refuser.Ran
+		return nil
+	}
+	a.drain()
+	why := fmt.Sprintf("not run, status %d", a.res.StatusCode)
+	return &attemptError{sent: true, why: why, err: errNotRun}
+}
+
+// errNotRun says that an endpoint refused a request before running it.
+var errNotRun = errors.New("refused by the endpoint")
+
+// drain reads a short body to its end, so that the connection can be kept.
+func (a *answer) drain() {
+	b, err := io.ReadAll(io.LimitReader(a.res.Body, inlineBody))
+	if err == nil && len(b) < inlineBody {
+		a.end(chooser.ResultBusy, true)
+	}
+}
+
+// began notes the first byte of the answer's body.
+func (a *answer) began(q *request) {
+	if !a.first.IsZero() {
+		return
+	}
+	a.first = time.Now()
+	a.track.First()
+	a.c.cfg.Usage.Began(q.org.Name, a.first)
+}
+
+// end releases the attempt. A connection is kept only after a whole answer to a
+// request that was sent whole.
+func (a *answer) end(r chooser.Result, whole bool) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.track.End(r)
+	alive := a.ctx.Err() == nil
+	a.cancel()
+	if a.conn == nil {
+		return
+	}
+	if !whole || !alive || a.res.Close || !a.sentWhole() {
+		a.c.cfg.Pool.Discard(a.conn)
+		return
+	}
+	if err := a.conn.SetDeadline(time.Time{}); err != nil {
+		a.c.cfg.Pool.Discard(a.conn)
+		return
+	}
+	a.c.cfg.Pool.Keep(a.conn, a.verdict.Idle)
+}
+
+func (a *answer) sentWhole() bool {
+	select {
+	case err := <-a.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// resultOf says what a failed attempt tells of its endpoint.
+func resultOf(ctx context.Context, err error) chooser.Result {
+	var a *attemptError
+	switch {
+	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return chooser.ResultNone
+	case errors.Is(err, errNotRun):
+		return chooser.ResultBusy
+	case errors.Is(err, dialer.ErrLimit):
+		return chooser.ResultBusy
+	case errors.As(err, &a) && !a.sent:
+		return chooser.ResultUnreachable
+	}
+	return chooser.ResultBroken
+}
--- /dev/null
+++ b/internal/traffic/chooser/cache.go
@@ -0,0 +1,83 @@
+package chooser
+
+import "time"
+
+const (
+	// cacheTime is how long a part is taken to stay in an engine's memory
+	// after its last use.
+	cacheTime = 15 * time.Second
+	// cacheEntries bounds the parts remembered of one engine.
+	cacheEntries = 4096
+)
+
+// cache remembers which parts of prompts an engine was sent lately.
+type cache struct {
+	used map[string]time.Time
+}
+
+func newCache() cache { return cache{used: make(map[string]time.Time)} }
+
+// add notes that an engine reads a prompt.
+func (c *cache) add(parts []Part, now time.Time) {
+	for i := range len(parts) - 1 {
+		c.used[parts[i].ID] = now
+	}
+	if len(c.used) <= cacheEntries {
+		return
+	}
+	for id, at := range c.used {
+		if now.Sub(at) > cacheTime {
+			delete(c.used, id)
+		}
+	}
+}
+
+// tokens returns how many tokens at the start of a prompt are probably cached.
+func (c *cache) tokens(parts []Part, now time.Time) int {
+	n := 0
+	for i := range len(parts) - 1 {
+		at, ok := c.used[parts[i].ID]
+		if !ok || now.Sub(at) > cacheTime {
+			break
+		}
+		n += parts[i].Tokens
+	}
+	return n
+}
+
+const (
+	// priorTokens and priorPace are the weight and the prompt tokens a
+	// millisecond that are assumed before anything was learned.
+	priorTokens = 200_000.0
+	priorPace   = 55.0
+	// forgetting is the weight that older samples keep with each new one.
+	forgetting = 0.995
+	// sampleTokens is the smallest prompt that tells of the pace.
+	sampleTokens = 3000
+	minPace      = 5.0
+	maxPace      = 500.0
+)
+
+// speed learns how fast the engines of a service read prompts.
+type speed struct {
+	tokens, millis float64
+}
+
+func newSpeed() *speed { return &speed{tokens: priorTokens, millis: priorTokens / priorPace} }
+
+func (s *speed) learn(tokens int, took time.Duration) {
+	read := took - firstTime
+	if tokens < sampleTokens || read <= 0 {
+		return
+	}
+	s.tokens = s.tokens*forgetting + float64(tokens)
+	s.millis = s.millis*forgetting + float64(read)/float64(time.Millisecond)
+}
+
+func (s *speed) perMillisecond() float64 {
+	return min(max(s.tokens/s.millis, minPace), maxPace)
+}
+
+func (s *speed) time(tokens int) time.Duration {
+	return time.Duration(float64(max(tokens, 0)) / s.perMillisecond() * float64(time.Millisecond))
+}
--- /dev/null
+++ b/internal/traffic/chooser/policy.go
@@ -0,0 +1,92 @@
+package chooser
+
+import (
+	"time"
+
+	"pomelotiller/internal/fleet/tracker"
+)
+
+const (
+	// remoteCost is what an endpoint of another failure domain costs beside
+	// its wait, for the way there and the bytes between domains.
+	remoteCost = 4 * time.Millisecond
+	// plainWork is the assumed time of one call of a plain service.
+	plainWork = 15 * time.Millisecond
+	// firstTime is the time to the first event of an idle engine.
+	firstTime = 70 * time.Millisecond
+	// failureCost is the cost of an endpoint all of whose answers fail.
+	failureCost = time.Second
+	// homeCredit is the part of the shared tokens taken to be cached at the
+	// endpoint where requests with the same shared parts meet.
+	homeCredit = 0.7
+)
+
+// candidate is one endpoint as a policy weighs it.
+type candidate struct {
+	tracker.Endpoint
+	state  *state
+	remote bool
+	now    time.Time
+}
+
+// Policy weighs candidates C for queries Q. The cost decides; the wait is the
+// predicted time until the answer begins.
+type Policy[Q, C any] interface {
+	Cost(q Q, c C) (cost, wait time.Duration)
+}
+
+// plainPolicy spreads requests to plain services by what is in flight.
+type plainPolicy struct{}
+
+// Cost implements Policy.
+func (plainPolicy) Cost(_ Query, c candidate) (cost, wait time.Duration) {
+	slots := max(c.Slots, 1)
+	inFlight := c.state.running + c.state.theirs.Running
+	wait = plainWork
+	if inFlight >= slots {
+		wait += plainWork * time.Duration(inFlight-slots+1) / time.Duration(slots)
+	}
+	load := plainWork * time.Duration(inFlight) / time.Duration(slots)
+	return wait + load + c.penalty(), wait
+}
+
+// batchPolicy predicts when an engine that reads prompts in turn and batches
+// requests comes to a request.
+type batchPolicy struct {
+	speed *speed
+	home  string
+}
+
+// Cost implements Policy.
+func (p batchPolicy) Cost(q Query, c candidate) (cost, wait time.Duration) {
+	cached := c.state.cache.tokens(q.Parts, c.now)
+	if cached == 0 && c.ID == p.home {
+		cached = int(homeCredit * float64(shared(q.Parts)))
+	}
+	tokens := c.state.prompt + c.state.theirs.Prompt + q.Prompt - cached
+	wait = firstTime + p.speed.time(tokens)
+	slots := max(c.Slots, 1)
+	running := c.state.running + c.state.theirs.Running
+	if running >= slots {
+		wait += firstTime * time.Duration(1+running-slots)
+	}
+	// A full batch slows every token; the cost grows with the batch.
+	crowd := firstTime * time.Duration(running) / time.Duration(slots)
+	return wait + crowd + c.penalty(), wait
+}
+
+func (c candidate) penalty() time.Duration {
+	cost := time.Duration(c.state.health.rate(c.now) * float64(failureCost))
+	if c.remote {
+		cost += remoteCost
+	}
+	return cost
+}
+
+func shared(parts []Part) int {
+	n := 0
+	for i := range len(parts) - 1 {
+		n += parts[i].Tokens
+	}
+	return n
+}
--- a/internal/traffic/refuser/refuser.go
+++ b/internal/traffic/refuser/refuser.go
@@ -92,6 +92,11 @@
 	if r.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(wholeSeconds(r.RetryAfter)))
 	}
+	WriteBody(w, r)
+}
+
+// WriteBody sends a refusal whose Retry-After field, if any, is set already.
+func WriteBody(w http.ResponseWriter, r *Refusal) {
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.WriteHeader(r.Status)
 	// A failed write means that the caller is gone; there is nobody to tell.
