--- a/internal/control/accounter/accounter.go
+++ b/internal/control/accounter/accounter.go
@@ -146,7 +146,9 @@
 	_, err = a.cfg.Store.Swap(ctx, storer.Write{Key: key(w), Value: b})
 	var conflict *storer.ConflictError
 	if errors.As(err, &conflict) && len(conflict.Current.Value) > 0 {
-		return r, json.Unmarshal(conflict.Current.Value, &r)
+		// Decoded into a fresh report, since a map keeps the keys that it has.
+		var fixed Report
+		return fixed, json.Unmarshal(conflict.Current.Value, &fixed)
 	}
 	if err != nil {
 		return r, fmt.Errorf("fix window %d: %w", w, err)
