Reload settings, and end idle connections at a planned stop

They are closed at once now, and what still arrives after the balancer's time is refused as not run.

--- a/cmd/pomelotiller/serve.go
+++ b/cmd/pomelotiller/serve.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -29,12 +31,18 @@
 		Example: "  pomelotiller serve -c settings.yaml",
 		Args:    cobra.NoArgs,
 		RunE: verb(func(ctx context.Context, cmd *cobra.Command, _ []string) error {
+			// A signal before the daemon is built must not end the process.
+			hangups := make(chan os.Signal, 1)
+			signal.Notify(hangups, syscall.SIGHUP)
+			defer signal.Stop(hangups)
 			s, err := loader.ReadSettings(settings)
 			if err != nil {
 				return err
 			}
 			if s.Edge != nil {
-				d, err := composer.New(context.WithoutCancel(ctx), composer.Config{Settings: s, Adapter: platform.NewAdapter(s), Out: cmd.OutOrStdout()})
+				d, err := composer.New(context.WithoutCancel(ctx), composer.Config{
+					Settings: s, Adapter: platform.NewAdapter(s), Path: settings, Hangups: hangups, Out: cmd.OutOrStdout(),
+				})
 				if err != nil {
 					return err
 				}
--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -67,6 +68,12 @@
 type Config struct {
 	Settings loader.Settings
 	Adapter  Adapter
+	// Path is the settings file, which is read again when it changes; may be
+	// empty.
+	Path string
+	// Hangups has a value for each signal to read the settings again; may be
+	// nil.
+	Hangups <-chan os.Signal
 	// Out receives the log.
 	Out io.Writer
 }
@@ -74,6 +81,7 @@
 // Daemon is one entry daemon.
 type Daemon struct {
 	cfg      Config
+	current  atomic.Pointer[loader.Settings]
 	logger   log.Logger
 	lines    *logger.Queue
 	registry metrics.Registry
@@ -110,6 +118,7 @@
 		return nil, err
 	}
 	d := &Daemon{cfg: cfg, logger: l, lines: lines, registry: metrics.NewRegistry(), boot: time.Now().UnixNano()}
+	d.current.Store(&s)
 	if err := d.listen(ctx); err != nil {
 		return nil, err
 	}
@@ -157,9 +166,7 @@
 	d.chooser = chooser.New(chooser.Config{Domain: s.Domain})
 	d.pool = dialer.New(dialer.Config{Timeout: dialTimeout, Registry: d.registry})
 	d.allowances = limiter.NewAllowances(s.Edge.First)
-	d.budget = limiter.NewBudget(limiter.BudgetConfig{
-		Ratio: s.Edge.Retries.Ratio, Window: s.Edge.Retries.Window.Std(), Extra: s.Edge.Retries.Extra,
-	})
+	d.budget = limiter.NewBudget(budgetOf(s))
 	d.counter = accounter.NewCounter(s.Edge.Usage.Window.Std())
 	d.gauge = scaler.NewGauge()
 	d.roller = roller.New(roller.Config{
@@ -174,6 +181,11 @@
 	d.server = newServer(d.carrier, d.catalog.Load, d.logger)
 }
 
+func budgetOf(s loader.Settings) limiter.BudgetConfig {
+	r := s.Edge.Retries
+	return limiter.BudgetConfig{Ratio: r.Ratio, Window: r.Window.Std(), Extra: r.Extra}
+}
+
 // buildControl builds the duties.
 func (d *Daemon) buildControl() {
 	s, a := d.cfg.Settings, d.cfg.Adapter
@@ -204,7 +216,7 @@
 	var g errgroup.Group
 	for _, f := range []func(context.Context) error{
 		d.operator.Run, d.operator.RunPull, d.endpoints.Run, d.endpoints.RunPull, d.sharer.Run, d.runPeers, d.keeper.Run,
-		d.runSlow, d.runFast, d.runDuties, d.serveReady, d.serveOperators, d.serveCallers,
+		d.runSlow, d.runFast, d.runReload, d.runDuties, d.serveReady, d.serveOperators, d.serveCallers,
 	} {
 		g.Go(func() error {
 			defer end()
@@ -244,11 +256,15 @@
 	began := time.Now()
 	d.stopping.Store(true)
 	d.carrier.Stop()
+	d.server.closeIdle()
 	d.sharer.Stop()
 	d.log("msg", "stopping", "in_flight", d.carrier.InFlight())
-	last := d.cfg.Settings.Edge.Grace.Std() - exitMargin
+	last := d.settings().Edge.Grace.Std() - exitMargin
 	for ctx.Err() == nil {
 		age := time.Since(began)
+		if age >= balancerTime {
+			d.carrier.Close()
+		}
 		if age >= last || age >= balancerTime && d.carrier.InFlight() == 0 {
 			break
 		}
--- a/internal/daemon/composer/knowledge.go
+++ b/internal/daemon/composer/knowledge.go
@@ -222,7 +222,7 @@
 		return nil
 	}
 	var out []string
-	for _, s := range d.cfg.Settings.Seeds {
+	for _, s := range d.settings().Seeds {
 		if host, _, err := net.SplitHostPort(s); err == nil {
 			out = append(out, net.JoinHostPort(host, port))
 		}
--- a/internal/daemon/composer/server.go
+++ b/internal/daemon/composer/server.go
@@ -76,6 +76,10 @@
 	}
 }
 
+// closeIdle ends the connections that carry no request, so that no caller uses
+// one of them for a request that comes too late.
+func (s *server) closeIdle() { s.http.SetKeepAlivesEnabled(false) }
+
 // close ends the listener and the idle connections, and waits a little for
 // answers on their way.
 func (s *server) close(ctx context.Context) {
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -37,7 +37,7 @@
 	// It doubles up to lastRetryPeriod where none ever did.
 	retryPeriod     = time.Second
 	lastRetryPeriod = 30 * time.Second
-	kind        = "status"
+	kind            = "status"
 )
 
 // Transport carries messages between daemons.
--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -69,6 +69,7 @@
 type Carrier struct {
 	cfg      Config
 	stopping atomic.Bool
+	closed   atomic.Bool
 	inFlight atomic.Int64
 }
 
@@ -78,6 +79,9 @@
 // Stop makes callers close their connections after the answer in hand.
 func (c *Carrier) Stop() { c.stopping.Store(true) }
 
+// Close refuses what still arrives, since there is no time left to answer it.
+func (c *Carrier) Close() { c.closed.Store(true) }
+
 // InFlight returns the number of requests that are being served.
 func (c *Carrier) InFlight() int { return int(c.inFlight.Load()) }
 
@@ -148,6 +152,9 @@
 
 // admit reads a request and checks it against the configuration in force.
 func (c *Carrier) admit(q *request, r *http.Request) error {
+	if c.closed.Load() {
+		return &refuser.Refusal{Status: http.StatusServiceUnavailable, Title: "stopping", Detail: "the daemon stops", RetryAfter: minRetryAfter}
+	}
 	cat := c.cfg.Catalog()
 	if cat == nil {
 		return &refuser.Refusal{Status: http.StatusServiceUnavailable, Title: "starting", Detail: "no configuration is known yet", RetryAfter: startDelay}
--- a/internal/traffic/limiter/budget.go
+++ b/internal/traffic/limiter/budget.go
@@ -44,6 +44,17 @@
 	return &Budget{cfg: cfg, members: 1, services: make(map[string]*history)}
 }
 
+// Configure replaces the bounds. What was counted so far still counts unless the
+// window changes.
+func (b *Budget) Configure(cfg BudgetConfig) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if cfg.Window != b.cfg.Window {
+		clear(b.services)
+	}
+	b.cfg = cfg
+}
+
 // SetMembers says how many daemons share the extra.
 func (b *Budget) SetMembers(n int) {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/traffic/limiter/budget_test.go
@@ -0,0 +1,54 @@
+package limiter
+
+import (
+	"testing"
+	"time"
+)
+
+// The parts of all daemons add up to no more than the budget of the fleet.
+func TestBudgetsAddUp(t *testing.T) {
+	const members, perDaemon = 9, 20
+	cfg := BudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Extra: 58}
+	now := time.Unix(0, 0)
+	total := 0
+	for range members {
+		b := NewBudget(cfg)
+		b.SetMembers(members)
+		for range perDaemon {
+			b.Request("a", now)
+		}
+		for b.Take("a", now) {
+			total++
+		}
+	}
+	if limit := int(0.2*members*perDaemon + 58); total > limit || total < limit-members {
+		t.Errorf("got %d retries, want about %d and no more", total, limit)
+	}
+}
+
+func TestBudgetWindowSlides(t *testing.T) {
+	b := NewBudget(BudgetConfig{Ratio: 1, Window: 10 * time.Second})
+	at := func(s float64) time.Time { return time.Unix(100, 0).Add(time.Duration(s * float64(time.Second))) }
+	b.Request("a", at(0))
+	if !b.Take("a", at(1)) {
+		t.Fatal("got no retry for a request, want one")
+	}
+	if b.Take("a", at(9)) {
+		t.Error("got a second retry within the window, want none")
+	}
+	if b.Take("b", at(9)) {
+		t.Error("got a retry for a service without requests, want none")
+	}
+	b.Request("a", at(12))
+	if !b.Take("a", at(12)) {
+		t.Error("got no retry for a request of the next window, want one")
+	}
+}
+
+func TestBudgetConfigure(t *testing.T) {
+	b := NewBudget(BudgetConfig{Window: 10 * time.Second})
+	b.Configure(BudgetConfig{Window: 10 * time.Second, Extra: 1})
+	if !b.Take("a", time.Unix(0, 0)) || b.Take("a", time.Unix(0, 0)) {
+		t.Error("want exactly one retry under the new bounds")
+	}
+}
