--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -40,6 +40,9 @@
 	platformDuty = "platform"
 	// dialTimeout bounds the making of a connection to an endpoint.
 	dialTimeout = 300 * time.Millisecond
+	// freshMargin is how much longer than a watch the latest answer of the store
+	// to another daemon may be ago.
+	freshMargin = 700 * time.Millisecond
 	// logLines is how many lines may wait to be written.
 	logLines = 4096
 )
@@ -153,7 +156,7 @@
 	d.sharer = sharer.New(sharer.Config{
 		Name: s.Name, Domain: s.Domain, Address: s.Peers, Boot: d.boot, Fill: d.fill, Heard: d.heard, Logger: d.logger, Registry: d.registry,
 	})
-	base := syncer.Config{Store: a.Store, Peers: d.sharer, Logger: d.logger, Registry: d.registry}
+	base := syncer.Config{Store: a.Store, Peers: d.sharer, Fresh: s.Edge.Watch.Std() + freshMargin, Logger: d.logger, Registry: d.registry}
 	operator, endpoints := base, base
 	operator.Prefix, operator.Apply = a.OperatorPart, d.applyOperator
 	endpoints.Prefix, endpoints.Apply = a.EndpointPart, d.applyEndpoints
--- a/internal/daemon/composer/knowledge.go
+++ b/internal/daemon/composer/knowledge.go
@@ -117,6 +117,8 @@
 	d.gauge.Hear(current.Name, current.Boot, current.Demands)
 	d.roller.Hear(current.Name, current.Trials, current.Moves)
 	d.heardSpent(old, current)
+	d.operator.Wake()
+	d.endpoints.Wake()
 }
 
 // heardSpent takes from the allowances what another daemon let through since
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pomelotiller/internal/fleet/messenger"
+	"pomelotiller/internal/fleet/ranker"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/meter"
 )
@@ -28,7 +29,7 @@
 	// period grows with the fleet, so that the load of a daemon stays bounded.
 	baseSize = 12
 	// silence is how many periods without a status make a peer silent.
-	silence = 7
+	silence = 5
 	// forgetTime is how long a silent peer counts as a member that may still
 	// serve on its own.
 	forgetTime  = 30 * time.Second
@@ -44,6 +45,8 @@
 type Transport interface {
 	Send(ctx context.Context, addr, kind string, body []byte) error
 	Call(ctx context.Context, addr, kind string, body []byte) ([]byte, error)
+	// Forget gives up the connection to an address.
+	Forget(addr string)
 }
 
 // Config configures a Sharer.
@@ -84,6 +87,7 @@
 	peers     map[string]*Peer
 	contacts  map[string]*contact
 	revisions map[string]uint64
+	answered  map[string]time.Time
 	stopping  bool
 	soon      chan struct{}
 }
@@ -92,7 +96,7 @@
 func New(cfg Config) *Sharer {
 	return &Sharer{
 		cfg: cfg, peers: make(map[string]*Peer), contacts: make(map[string]*contact),
-		revisions: make(map[string]uint64), soon: make(chan struct{}, 1),
+		revisions: make(map[string]uint64), answered: make(map[string]time.Time), soon: make(chan struct{}, 1),
 	}
 }
 
@@ -177,7 +181,10 @@
 	s.number++
 	st := Status{
 		Name: s.cfg.Name, Domain: s.cfg.Domain, Address: s.cfg.Address, Boot: s.cfg.Boot, Number: s.number,
-		Revisions: maps.Clone(s.revisions), Stopping: s.stopping,
+		Revisions: maps.Clone(s.revisions), Ages: make(map[string]int64, len(s.answered)), Stopping: s.stopping,
+	}
+	for part, at := range s.answered {
+		st.Ages[part] = time.Since(at).Milliseconds()
 	}
 	for _, p := range s.peers {
 		if !p.Silent {
@@ -247,6 +254,10 @@
 	}
 	p := &Peer{Status: st, Heard: time.Now()}
 	s.peers[st.Name] = p
+	if t := s.transport; t != nil && old != nil && old.Boot != st.Boot {
+		// The connection led to the former process.
+		t.Forget(st.Address)
+	}
 	s.mu.Unlock()
 	if old == nil || old.Boot != st.Boot || old.Silent {
 		s.log("msg", "peer heard", "peer", st.Name, "address", st.Address, "domain", st.Domain, "boot", st.Boot)
@@ -328,6 +339,34 @@
 	s.mu.Lock()
 	s.revisions[part] = max(s.revisions[part], revision)
 	s.mu.Unlock()
+	s.Hasten()
+}
+
+// Answered implements syncer.Peers.
+func (s *Sharer) Answered(part string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answered[part] = time.Now()
+}
+
+// Follows implements syncer.Peers. In each failure domain one daemon follows a
+// part of the store; the others do so only while they hear of nobody whom the
+// store answers.
+func (s *Sharer) Follows(part string, within time.Duration) bool {
+	members := s.Members()
+	near := slices.DeleteFunc(slices.Clone(members), func(m viewer.Member) bool { return m.Domain != s.cfg.Domain })
+	if ranker.First(part, near) == s.cfg.Name {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.peers {
+		age, ok := p.Ages[part]
+		if ok && !p.Silent && time.Since(p.Heard)+time.Duration(age)*time.Millisecond < within {
+			return false
+		}
+	}
+	return true
 }
 
 // Call implements syncer.Peers.
--- a/internal/fleet/sharer/status.go
+++ b/internal/fleet/sharer/status.go
@@ -12,11 +12,14 @@
 	Number uint64 `cbor:"5,keyasint"`
 	// Revisions are the store's revisions known of each part.
 	Revisions map[string]uint64 `cbor:"6,keyasint"`
-	Loads     []Load            `cbor:"7,keyasint,omitempty"`
-	Spent     []Spent           `cbor:"8,keyasint,omitempty"`
-	Windows   []Window          `cbor:"9,keyasint,omitempty"`
-	Demands   []Demand          `cbor:"10,keyasint,omitempty"`
-	Trials    []Trial           `cbor:"11,keyasint,omitempty"`
+	// Ages are the times since the store last answered this daemon about each
+	// part, in milliseconds.
+	Ages    map[string]int64 `cbor:"15,keyasint,omitempty"`
+	Loads   []Load           `cbor:"7,keyasint,omitempty"`
+	Spent   []Spent          `cbor:"8,keyasint,omitempty"`
+	Windows []Window         `cbor:"9,keyasint,omitempty"`
+	Demands []Demand         `cbor:"10,keyasint,omitempty"`
+	Trials  []Trial          `cbor:"11,keyasint,omitempty"`
 	// Peers are the addresses of the daemons that this one hears.
 	Peers []string `cbor:"12,keyasint,omitempty"`
 	// Stopping daemons take no duties and end soon.
--- a/internal/fleet/syncer/syncer.go
+++ b/internal/fleet/syncer/syncer.go
@@ -17,7 +17,6 @@
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
-	"pomelotiller/internal/fleet/ticker"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/remote/storer"
 )
@@ -25,9 +24,14 @@
 const (
 	// pullPeriod is the time between two looks at what others have.
 	pullPeriod = 100 * time.Millisecond
-	// pullDelay is how long a daemon waits for its own watch before it asks
-	// another daemon.
-	pullDelay   = 150 * time.Millisecond
+	// pullDelay is how long a daemon that follows the store itself waits for
+	// its own watch before it asks another daemon.
+	pullDelay = 150 * time.Millisecond
+	// staleTime is how long after a failure of the store entries may be missing
+	// that will come back.
+	staleTime = 2500 * time.Millisecond
+	// turnPeriod is the time between two looks at whose turn it is.
+	turnPeriod  = 100 * time.Millisecond
 	pullTimeout = 800 * time.Millisecond
 	// firstDelay and lastDelay bound the pause after a failed call to the
 	// store.
@@ -44,6 +48,11 @@
 	Call(ctx context.Context, addr, kind string, body []byte) ([]byte, error)
 	// Revised is told of each revision that this daemon comes to know.
 	Revised(part string, revision uint64)
+	// Answered is told of each answer of the store about a part.
+	Answered(part string)
+	// Follows reports whether this daemon has to follow a part itself, since it
+	// is its turn or no other was answered within that time.
+	Follows(part string, within time.Duration) bool
 }
 
 // Config configures a Syncer.
@@ -51,6 +60,9 @@
 	Store  storer.Store
 	Prefix string
 	Peers  Peers
+	// Fresh is how old the last answer of the store to another daemon may be
+	// that makes a watch of this one needless.
+	Fresh time.Duration
 	// Apply is told of changed and deleted entries, in turn, never at once.
 	Apply    func(changed []storer.Entry, stale bool)
 	Logger   log.Logger
@@ -68,14 +80,17 @@
 	loaded bool
 	// failing is since when the store has not answered; zero if it does.
 	failing time.Time
-	behind  time.Time
+	// failed is when the store last failed to answer.
+	failed time.Time
+	behind time.Time
+	wake   chan struct{}
 
 	apply sync.Mutex
 }
 
 // New returns an empty copy.
 func New(cfg Config) *Syncer {
-	return &Syncer{cfg: cfg, entries: make(map[string]storer.Entry)}
+	return &Syncer{cfg: cfg, entries: make(map[string]storer.Entry), wake: make(chan struct{}, 1)}
 }
 
 // Kind is the kind of message by which another daemon asks for changes.
@@ -93,6 +108,10 @@
 	delay := firstDelay
 	relist := true
 	for ctx.Err() == nil {
+		if s.Loaded() && !s.cfg.Peers.Follows(s.cfg.Prefix, s.cfg.Fresh) {
+			pause(ctx, turnPeriod)
+			continue
+		}
 		err := s.follow(ctx, relist)
 		switch {
 		case err == nil:
@@ -101,7 +120,7 @@
 			relist = true
 			s.log("msg", "store history compacted", "part", s.cfg.Prefix, "outcome", "list again")
 		default:
-			s.failed(err)
+			s.noteFailure(err)
 			pause(ctx, delay)
 			delay = min(2*delay, lastDelay)
 		}
@@ -111,7 +130,25 @@
 
 // RunPull takes from other daemons what the store does not tell, until ctx ends.
 func (s *Syncer) RunPull(ctx context.Context) error {
-	return ticker.Every(ctx, pullPeriod, s.pull)
+	tick := time.NewTicker(pullPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		case <-s.wake:
+		}
+		s.pull(ctx)
+	}
+}
+
+// Wake looks at what others have at once.
+func (s *Syncer) Wake() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
 }
 
 // follow makes one call to the store and takes in what it answers.
@@ -178,7 +215,7 @@
 	advanced := p.Revision > s.revision || !s.loaded
 	s.revision = max(s.revision, p.Revision)
 	s.loaded = true
-	stale := !s.failing.IsZero()
+	stale := !s.failed.IsZero() && time.Since(s.failed) < staleTime
 	s.mu.Unlock()
 	if advanced {
 		s.cfg.Peers.Revised(s.cfg.Prefix, p.Revision)
@@ -189,6 +226,7 @@
 }
 
 func (s *Syncer) answered() {
+	s.cfg.Peers.Answered(s.cfg.Prefix)
 	s.mu.Lock()
 	since := s.failing
 	s.failing = time.Time{}
@@ -198,11 +236,12 @@
 	}
 }
 
-func (s *Syncer) failed(err error) {
+func (s *Syncer) noteFailure(err error) {
 	s.mu.Lock()
 	first := s.failing.IsZero()
+	s.failed = time.Now()
 	if first {
-		s.failing = time.Now()
+		s.failing = s.failed
 	}
 	revision := s.revision
 	s.mu.Unlock()
@@ -223,7 +262,7 @@
 	if s.behind.IsZero() {
 		s.behind = time.Now()
 	}
-	if time.Since(s.behind) < pullDelay {
+	if time.Since(s.behind) < pullDelay && s.cfg.Peers.Follows(s.cfg.Prefix, s.cfg.Fresh) {
 		return
 	}
 	s.behind = time.Time{}
--- a/internal/traffic/limiter/limiter.go
+++ b/internal/traffic/limiter/limiter.go
@@ -52,9 +52,9 @@
 				b.level = o.Burst
 			}
 		}
-		b.refill(now, 0)
+		b.refill(now, a.silentShare())
 		b.rate, b.burst = o.Rate, max(o.Burst, o.Rate/burstFraction)
-		b.level = min(b.level, b.burst)
+		b.level = min(b.level, b.room(a.silentShare()))
 	}
 }
 
@@ -67,6 +67,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.members, a.silent = max(members, 1), silent
+	for _, b := range a.buckets {
+		b.level = min(b.level, b.room(a.silentShare()))
+	}
 }
 
 // Take lets a request of that cost pass, or says how long until it would.
@@ -78,8 +81,8 @@
 		return 0, true
 	}
 	b.refill(now, a.silentShare())
-	// A request larger than the whole burst passes once the bucket is full.
-	need := min(cost, b.burst)
+	// A request larger than what may be saved up passes once the bucket is full.
+	need := min(cost, b.room(a.silentShare()))
 	if b.level >= need {
 		b.level -= cost
 		b.total += cost
@@ -118,7 +121,7 @@
 	if quiet > 0 {
 		cost = max(cost-b.rate/float64(a.members)*quiet.Seconds(), 0)
 	}
-	b.level = min(b.level-cost, b.burst)
+	b.level = min(b.level-cost, b.room(a.silentShare()))
 }
 
 // Totals returns what this daemon let through since its start.
@@ -148,7 +151,11 @@
 // daemons.
 func (b *bucket) refill(now time.Time, silentShare float64) {
 	if now.After(b.at) {
-		b.level = min(b.level+b.rate*(1-silentShare)*now.Sub(b.at).Seconds(), b.burst)
+		b.level = min(b.level+b.rate*(1-silentShare)*now.Sub(b.at).Seconds(), b.room(silentShare))
 		b.at = now
 	}
 }
+
+// room is what may be saved up. The part of silent daemons is left to them, so
+// that each side of a cut does not spend the whole of it.
+func (b *bucket) room(silentShare float64) float64 { return b.burst * (1 - silentShare) }
