Keep lapsed endpoints only right after the store's return

Only entries that vanish within 2 s of the last failure are kept, until then; a store that answers other daemons meanwhile was not away at all. Ruled out: a late watch (the daemon knew 3 ms after the acknowledgement).

--- a/internal/daemon/composer/knowledge.go
+++ b/internal/daemon/composer/knowledge.go
@@ -29,7 +29,7 @@
 )
 
 // applyOperator brings what the operator wrote into force.
-func (d *Daemon) applyOperator(changed []storer.Entry, _ bool) {
+func (d *Daemon) applyOperator(changed []storer.Entry, _ time.Time) {
 	for _, e := range changed {
 		if d.cfg.Adapter.IsCatalog(e.Key) {
 			d.applyCatalog(e)
@@ -67,12 +67,12 @@
 	d.sharer.Hasten()
 }
 
-func (d *Daemon) applyEndpoints(changed []storer.Entry, stale bool) {
+func (d *Daemon) applyEndpoints(changed []storer.Entry, lost time.Time) {
 	changes := make([]tracker.Change, 0, len(changed))
 	for _, e := range changed {
 		changes = append(changes, d.cfg.Adapter.Endpoint(e))
 	}
-	d.tracker.Apply(changes, stale)
+	d.tracker.Apply(changes, lost)
 }
 
 func (d *Daemon) endpointsChanged() {
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -358,15 +358,20 @@
 	if ranker.First(part, near) == s.cfg.Name {
 		return true
 	}
+	return !s.Answers(part, within)
+}
+
+// Answers implements syncer.Peers.
+func (s *Sharer) Answers(part string, within time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.peers {
 		age, ok := p.Ages[part]
 		if ok && !p.Silent && time.Since(p.Heard)+time.Duration(age)*time.Millisecond < within {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // Call implements syncer.Peers.
--- a/internal/fleet/syncer/syncer.go
+++ b/internal/fleet/syncer/syncer.go
@@ -27,9 +27,6 @@
 	// pullDelay is how long a daemon that follows the store itself waits for
 	// its own watch before it asks another daemon.
 	pullDelay = 150 * time.Millisecond
-	// staleTime is how long after a failure of the store entries may be missing
-	// that will come back.
-	staleTime = 2500 * time.Millisecond
 	// turnPeriod is the time between two looks at whose turn it is.
 	turnPeriod  = 100 * time.Millisecond
 	pullTimeout = 800 * time.Millisecond
@@ -53,6 +50,9 @@
 	// Follows reports whether this daemon has to follow a part itself, since it
 	// is its turn or no other was answered within that time.
 	Follows(part string, within time.Duration) bool
+	// Answers reports whether the store answered another daemon about a part
+	// within that time.
+	Answers(part string, within time.Duration) bool
 }
 
 // Config configures a Syncer.
@@ -64,7 +64,8 @@
 	// that makes a watch of this one needless.
 	Fresh time.Duration
 	// Apply is told of changed and deleted entries, in turn, never at once.
-	Apply    func(changed []storer.Entry, stale bool)
+	// Lost is when the store was last seen to answer no daemon; zero if never.
+	Apply    func(changed []storer.Entry, lost time.Time)
 	Logger   log.Logger
 	Registry metrics.Registry
 }
@@ -80,8 +81,9 @@
 	loaded bool
 	// failing is since when the store has not answered; zero if it does.
 	failing time.Time
-	// failed is when the store last failed to answer.
-	failed time.Time
+	// lost is when the store last failed to answer this daemon while it was
+	// known to answer no other.
+	lost   time.Time
 	behind time.Time
 	wake   chan struct{}
 
@@ -215,13 +217,13 @@
 	advanced := p.Revision > s.revision || !s.loaded
 	s.revision = max(s.revision, p.Revision)
 	s.loaded = true
-	stale := !s.failed.IsZero() && time.Since(s.failed) < staleTime
+	lost := s.lost
 	s.mu.Unlock()
 	if advanced {
 		s.cfg.Peers.Revised(s.cfg.Prefix, p.Revision)
 	}
 	if len(changed) > 0 || relisted {
-		s.cfg.Apply(changed, stale)
+		s.cfg.Apply(changed, lost)
 	}
 }
 
@@ -237,17 +239,20 @@
 }
 
 func (s *Syncer) noteFailure(err error) {
+	answers := s.cfg.Peers.Answers(s.cfg.Prefix, s.cfg.Fresh)
 	s.mu.Lock()
 	first := s.failing.IsZero()
-	s.failed = time.Now()
 	if first {
-		s.failing = s.failed
+		s.failing = time.Now()
+	}
+	if !answers {
+		s.lost = time.Now()
 	}
 	revision := s.revision
 	s.mu.Unlock()
 	meter.Count(s.cfg.Registry, 1, "store_watch_failures_total", "part", s.cfg.Prefix)
 	if first {
-		s.log("msg", "store lost", "part", s.cfg.Prefix, "revision", revision, "error", err)
+		s.log("msg", "store lost", "part", s.cfg.Prefix, "revision", revision, "answers_others", answers, "error", err)
 	}
 }
 
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -15,9 +15,9 @@
 	"github.com/go-kit/log/level"
 )
 
-// returnTime is how long an entry that lapsed while the store was away may take
-// to come back before its endpoint counts as gone.
-const returnTime = 2200 * time.Millisecond
+// returnTime is how long after the store's return an entry that lapsed meanwhile
+// may take to come back before its endpoint counts as gone.
+const returnTime = 2 * time.Second
 
 // Endpoint is what one endpoint announced of itself.
 type Endpoint struct {
@@ -88,9 +88,7 @@
 	all     map[string]Endpoint
 	leaving map[instance]bool
 	// lapsed holds when endpoints whose entries lapsed count as gone.
-	lapsed map[string]time.Time
-	// away is when the store last failed to answer.
-	away    time.Time
+	lapsed  map[string]time.Time
 	version uint64
 }
 
@@ -109,17 +107,14 @@
 // Load returns the endpoints known at this moment.
 func (t *Tracker) Load() *Snapshot { return t.snapshot.Load() }
 
-// Apply takes in changes. Entries that vanish while the store was away, as
-// stale says, are kept until they had the time to come back.
-func (t *Tracker) Apply(changes []Change, stale bool) {
+// Apply takes in changes. Entries that vanish soon after the store was lost are
+// kept until they had the time to come back.
+func (t *Tracker) Apply(changes []Change, lost time.Time) {
 	t.mu.Lock()
 	now := t.cfg.Now()
-	if stale {
-		t.away = now
-	}
-	grace := !t.away.IsZero() && now.Sub(t.away) < returnTime
+	back := lost.Add(returnTime)
 	for _, c := range changes {
-		t.applyOne(c, now, grace)
+		t.applyOne(c, now, back)
 		t.version = max(t.version, c.Revision)
 	}
 	t.publish()
@@ -129,11 +124,11 @@
 	}
 }
 
-func (t *Tracker) applyOne(c Change, now time.Time, grace bool) {
+func (t *Tracker) applyOne(c Change, now, back time.Time) {
 	old, known := t.all[c.ID]
 	switch {
-	case c.Gone && grace && known && !old.Leaving:
-		t.lapsed[c.ID] = now.Add(returnTime)
+	case c.Gone && now.Before(back) && known && !old.Leaving:
+		t.lapsed[c.ID] = back
 		t.log("msg", "endpoint entry lapsed", "endpoint", c.ID, "revision", c.Revision, "outcome", "wait for its return")
 	case c.Gone || !c.Valid:
 		if known {
@@ -164,13 +159,6 @@
 	t.all[c.ID] = e
 }
 
-// Away notes that the store does not answer at present.
-func (t *Tracker) Away() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.away = t.cfg.Now()
-}
-
 // Leave latches an endpoint as leaving, as its own answers say.
 func (t *Tracker) Leave(id string, born int64, why string) {
 	t.mu.Lock()
