--- /dev/null
+++ b/internal/standin/responder/responder.go
@@ -0,0 +1,316 @@
+// Package responder is a small stand-in for the users' endpoints: plain
+// services and engines that answer with streams of events, over the users' wire,
+// with faults by command. It counts the runs of each request.
+package responder
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is how an endpoint misbehaves towards a request.
+type Fault int
+
+// Faults of an endpoint.
+const (
+	// FaultNone answers as asked.
+	FaultNone Fault = iota
+	// FaultFull refuses without running.
+	FaultFull
+	// FaultError runs and answers 500.
+	FaultError
+	// FaultReset runs and resets the connection.
+	FaultReset
+	// FaultMute runs and never answers.
+	FaultMute
+	// FaultCut runs and breaks off in the middle of the body.
+	FaultCut
+	// FaultForeign sends the answer of another request first.
+	FaultForeign
+	// FaultExtra sends a second answer after the first.
+	FaultExtra
+	// FaultUnframed answers without a length and ends with the connection.
+	FaultUnframed
+	// FaultUnframedReset does so and resets the connection early.
+	FaultUnframedReset
+	// FaultEarly answers before it has read the body.
+	FaultEarly
+	// FaultSplit stops a stream in the middle of an event.
+	FaultSplit
+)
+
+// Run is one run of a request.
+type Run struct {
+	ID     string
+	Method string
+	Target string
+	Header http.Header
+	Body   string
+	// From is the id of the last event that the caller had.
+	From int
+	// Left says whether the caller closed the connection during the run.
+	Left bool
+}
+
+// Config configures an Endpoint.
+type Config struct {
+	// ID is what Pomelotiller-Expect-Instance must name.
+	ID string
+	// Events is the number of events of a stream; 0 is a plain service.
+	Events int
+	// Pause is the time before each event, or before the answer.
+	Pause time.Duration
+}
+
+// Endpoint is one endpoint.
+type Endpoint struct {
+	cfg Config
+	ln  net.Listener
+
+	mu     sync.Mutex
+	faults []Fault
+	runs   []Run
+	conns  map[net.Conn]bool
+}
+
+// Start listens on a port of loopback and serves until Close.
+func Start(cfg Config) (*Endpoint, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	e := &Endpoint{cfg: cfg, ln: ln, conns: make(map[net.Conn]bool)}
+	go e.accept()
+	return e, nil
+}
+
+// Address returns the address that the endpoint listens on.
+func (e *Endpoint) Address() string { return e.ln.Addr().String() }
+
+// Fail makes the next requests meet these faults, one each.
+func (e *Endpoint) Fail(faults ...Fault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = append(e.faults, faults...)
+}
+
+// Runs returns the runs so far.
+func (e *Endpoint) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Run(nil), e.runs...)
+}
+
+// Close ends the endpoint and its connections.
+func (e *Endpoint) Close() error {
+	err := e.ln.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c := range maps.Keys(e.conns) {
+		err = errors.Join(err, c.Close())
+	}
+	return err
+}
+
+func (e *Endpoint) accept() {
+	for {
+		c, err := e.ln.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.conns[c] = true
+		e.mu.Unlock()
+		go e.serve(c)
+	}
+}
+
+// serve answers the requests of one connection in turn.
+func (e *Endpoint) serve(c net.Conn) {
+	defer func() {
+		e.mu.Lock()
+		delete(e.conns, c)
+		e.mu.Unlock()
+		// A second close does no harm.
+		_ = c.Close()
+	}()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if !e.answer(c, r, req) {
+			return
+		}
+	}
+}
+
+func (e *Endpoint) next() Fault {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.faults) == 0 {
+		return FaultNone
+	}
+	f := e.faults[0]
+	e.faults = e.faults[1:]
+	return f
+}
+
+// answer reads the rest of a request and answers it, and reports whether the
+// connection goes on.
+func (e *Endpoint) answer(c net.Conn, r *bufio.Reader, req *http.Request) bool {
+	id := req.Header.Get("Pomelotiller-Attempt-Id")
+	fault := e.next()
+	if fault == FaultEarly {
+		write(c, e.head(id, 413, "Content-Length: 0\r\n"))
+	}
+	b, err := io.ReadAll(req.Body)
+	if err != nil {
+		return false
+	}
+	if fault == FaultEarly {
+		return true
+	}
+	if want := req.Header.Get("Pomelotiller-Expect-Instance"); want != "" && want != e.cfg.ID {
+		write(c, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nPomelotiller-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", e.cfg.ID))
+		return true
+	}
+	if fault == FaultFull {
+		write(c, e.head(id, 503, "Pomelotiller-Not-Executed: 1\r\nContent-Length: 0\r\n"))
+		return true
+	}
+	n := e.record(req, string(b))
+	return e.run(c, r, n, id, fault)
+}
+
+// record notes a run and returns its place.
+func (e *Endpoint) record(req *http.Request, body string) int {
+	from, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	if err != nil {
+		from = 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs = append(e.runs, Run{
+		ID: req.Header.Get("Pomelotiller-Attempt-Id"), Method: req.Method, Target: req.RequestURI, Header: req.Header, Body: body, From: from,
+	})
+	return len(e.runs) - 1
+}
+
+func (e *Endpoint) run(c net.Conn, r *bufio.Reader, n int, id string, fault Fault) bool {
+	time.Sleep(e.cfg.Pause)
+	switch fault {
+	case FaultReset:
+		reset(c)
+		return false
+	case FaultMute:
+		// Ends when the caller closes.
+		_, err := r.Peek(1)
+		e.left(n, err != nil)
+		return false
+	case FaultError:
+		write(c, e.head(id, 500, "Content-Length: 5\r\n")+"wrong")
+		return true
+	case FaultForeign:
+		write(c, e.head("other", 200, "Content-Length: 5\r\n")+"other")
+	}
+	if e.cfg.Events > 0 {
+		return e.stream(c, n, id, fault)
+	}
+	return e.plain(c, id, fault)
+}
+
+// Plain is the body of a plain service's answer.
+const Plain = "the whole answer"
+
+func (e *Endpoint) plain(c net.Conn, id string, fault Fault) bool {
+	switch fault {
+	case FaultCut:
+		write(c, e.head(id, 200, "Content-Length: 16\r\n")+Plain[:7])
+		return false
+	case FaultUnframed:
+		write(c, e.head(id, 200, "")+Plain)
+		return false
+	case FaultUnframedReset:
+		write(c, e.head(id, 200, "")+Plain[:7])
+		reset(c)
+		return false
+	}
+	write(c, e.head(id, 200, "Content-Length: 16\r\n")+Plain)
+	if fault == FaultExtra {
+		write(c, e.head(id, 200, "Content-Length: 16\r\n")+Plain)
+	}
+	return true
+}
+
+// Event returns one event of a stream.
+func Event(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
+
+// Stream returns the whole body of a stream of n events.
+func Stream(n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(Event(i + 1))
+	}
+	return b.String()
+}
+
+func (e *Endpoint) stream(c net.Conn, n int, id string, fault Fault) bool {
+	if !write(c, e.head(id, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")) {
+		return false
+	}
+	from := e.Runs()[n].From
+	for i := from + 1; i <= e.cfg.Events; i++ {
+		event := Event(i)
+		if half := (from + e.cfg.Events) / 2; i > half && fault == FaultSplit {
+			write(c, chunk(event[:len(event)/2]))
+			reset(c)
+			return false
+		} else if i > half && fault == FaultCut {
+			return false
+		}
+		if !write(c, chunk(event)) {
+			e.left(n, true)
+			return false
+		}
+		time.Sleep(e.cfg.Pause)
+	}
+	return write(c, "0\r\n\r\n")
+}
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+func (e *Endpoint) head(id string, status int, fields string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nPomelotiller-Attempt-Id: %s\r\nPomelotiller-Response-Seal: %s.%s\r\n%s\r\n",
+		status, http.StatusText(status), id, e.cfg.ID, id, fields)
+}
+
+func (e *Endpoint) left(n int, left bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs[n].Left = left
+}
+
+func write(c net.Conn, s string) bool {
+	_, err := io.WriteString(c, s)
+	return err == nil
+}
+
+// reset ends a connection so that the peer's next read fails.
+func reset(c net.Conn) {
+	if tc, ok := c.(*net.TCPConn); ok {
+		// The close that follows resets the connection.
+		_ = tc.SetLinger(0)
+	}
+	_ = c.Close()
+}
