Keep the fleet of endpoints until its callers are known

Where a domain's reclaimable endpoints were taken back and none were to be had, nothing made up for them. The start's number is kept, mostly reclaimable, until callers were seen for 6 s, and standing endpoints replace missing reclaimable ones of a short domain. TestLoadThatStartsLate failed first.

--- a/internal/control/scaler/planner.go
+++ b/internal/control/scaler/planner.go
@@ -14,6 +14,9 @@
 	slotFullness = 0.5
 	// standingShare is the part of the endpoints that must not be reclaimable.
 	standingShare = 0.34
+	// warmTime is how long callers must be seen before fewer endpoints are
+	// ordered than there were at the start.
+	warmTime = 6 * time.Second
 	// shrinkDelay is how long fewer endpoints must suffice before some are
 	// given back.
 	shrinkDelay = 4 * time.Second
@@ -34,6 +37,8 @@
 type planner struct {
 	need  int
 	lower time.Time
+	// asked is when callers were first seen.
+	asked time.Time
 }
 
 // endpointsFor returns how many endpoints a load needs.
@@ -46,23 +51,37 @@
 	return int(math.Ceil(n))
 }
 
-// plan returns the orders that bring the service to what it needs.
-func (p *planner) plan(svc registrar.Service, domains []string, _ map[subject]int, l Load, now time.Time) []Order {
-	need := endpointsFor(svc, l)
+// plan returns the orders that bring the service to what it needs. At the start
+// that is as many as there are.
+func (p *planner) plan(svc registrar.Service, domains []string, present map[subject]int, short map[string]bool, l Load, now time.Time) []Order {
+	if p.asked.IsZero() {
+		p.need = max(p.need, total(present))
+		if l.Prompt > 0 || l.Running > 0 {
+			p.asked = now
+		}
+	}
+	p.follow(endpointsFor(svc, l), now)
+	return spread(svc, domains, p.need, present, short)
+}
+
+// follow raises the need at once and lowers it once less sufficed for some time.
+func (p *planner) follow(need int, now time.Time) {
+	warm := !p.asked.IsZero() && now.Sub(p.asked) >= warmTime
 	switch {
 	case need >= p.need:
 		p.need, p.lower = need, time.Time{}
+	case !warm:
 	case p.lower.IsZero():
 		p.lower = now
 	case now.Sub(p.lower) > shrinkDelay:
 		p.need, p.lower = need, time.Time{}
 	}
-	return spread(svc, domains, p.need)
 }
 
 // spread divides endpoints among the domains, cheaper ones first, with a part
-// in each that is not reclaimable.
-func spread(svc registrar.Service, domains []string, need int) []Order {
+// in each that is not reclaimable. In a domain that is short of reclaimable ones
+// others make up for those that are missing.
+func spread(svc registrar.Service, domains []string, need int, present map[subject]int, short map[string]bool) []Order {
 	sc := svc.Scaling
 	sorted := sortedDomains(domains, sc.Prices)
 	var out []Order
@@ -75,6 +94,9 @@
 		if sc.SpotPrice > 0 {
 			standing = min(n, max(sc.Min, int(math.Ceil(standingShare*float64(n)))))
 		}
+		if short[d] {
+			standing = max(standing, n-present[subject{svc.Name, d, true}])
+		}
 		out = append(out, Order{svc.Name, d, false, standing})
 		if sc.SpotPrice > 0 {
 			out = append(out, Order{svc.Name, d, true, min(n-standing+spareOf(n, len(sorted)), sc.Max-standing)})
--- a/internal/control/scaler/scaler.go
+++ b/internal/control/scaler/scaler.go
@@ -30,6 +30,11 @@
 	// repeatPeriod is how often an order is given again whose endpoints have
 	// not come.
 	repeatPeriod = 6 * time.Second
+	// shortTime is how long a domain counts as short of reclaimable endpoints
+	// after some were taken back or refused.
+	shortTime = 5 * time.Second
+	// shrinkTime is how long endpoints may leave after fewer were ordered.
+	shrinkTime = 10 * time.Second
 	// startTime is how long a new holder watches before it orders fewer.
 	startTime = 2 * time.Second
 )
@@ -74,6 +79,9 @@
 	since time.Time
 	fence dutykeeper.Fence
 	plans map[string]*planner
+	// short is when reclaimable endpoints were last found missing, lowered when
+	// fewer of a subject were last ordered.
+	short, lowered map[subject]time.Time
 }
 
 // subject is what one order is about.
@@ -91,7 +99,10 @@
 
 // New returns a scaler.
 func New(cfg Config) *Scaler {
-	return &Scaler{cfg: cfg, given: make(map[subject]given), plans: make(map[string]*planner)}
+	return &Scaler{
+		cfg: cfg, given: make(map[subject]given), plans: make(map[string]*planner),
+		short: make(map[subject]time.Time), lowered: make(map[subject]time.Time),
+	}
 }
 
 // Tick orders what has changed.
@@ -116,7 +127,7 @@
 			s.plans[svc.Name] = p
 		}
 		present := s.count(svc)
-		targets := p.plan(svc, s.cfg.Domains, present, s.cfg.Load(svc.Name), now)
+		targets := p.plan(svc, s.cfg.Domains, present, s.shortOf(svc, now), s.cfg.Load(svc.Name), now)
 		if !held {
 			continue
 		}
@@ -137,6 +148,30 @@
 	return out
 }
 
+// shortOf returns the domains whose reclaimable endpoints are being taken back
+// or were refused lately.
+func (s *Scaler) shortOf(svc registrar.Service, now time.Time) map[string]bool {
+	for _, e := range s.cfg.Endpoints().All {
+		if e.Service == svc.Name && e.Spot && e.Leaving && !s.shrunk(e.Domain, svc, now) {
+			s.short[subject{svc.Name, e.Domain, true}] = now
+		}
+	}
+	out := make(map[string]bool)
+	for sub, at := range s.short {
+		if sub.service == svc.Name && now.Sub(at) < shortTime {
+			out[sub.domain] = true
+		}
+	}
+	return out
+}
+
+// shrunk reports whether fewer reclaimable endpoints were ordered lately, so
+// that leaving ones do not mean that the platform takes them back.
+func (s *Scaler) shrunk(domain string, svc registrar.Service, now time.Time) bool {
+	at, ok := s.lowered[subject{svc.Name, domain, true}]
+	return ok && now.Sub(at) < shrinkTime
+}
+
 // give sends one order if it is due, and reports whether the duty is kept.
 func (s *Scaler) give(ctx context.Context, f dutykeeper.Fence, o Order, present map[subject]int, now time.Time) bool {
 	sub := subject{o.Service, o.Domain, o.Spot}
@@ -154,6 +189,12 @@
 	}
 	err := s.cfg.Orderer.Order(ctx, f, o)
 	s.given[sub] = given{o.Count, now, err != nil}
+	if o.Count < have {
+		s.lowered[sub] = now
+	}
+	if o.Spot && errors.Is(err, ErrRefused) {
+		s.short[sub] = now
+	}
 	s.log("msg", "endpoints ordered", "service", o.Service, "domain", o.Domain, "spot", o.Spot, "count", o.Count, "present", have,
 		"fence", f.Number, "error", err)
 	meter.Count(s.cfg.Registry, 1, "scale_orders_total")
