Order no endpoints before the list of them is known

Cause: the first holder of the duty ordered one endpoint a domain before it had read the list, so that the fleet of the start was given back at once (seen in its log at -9.2 s, present=0).

--- a/internal/control/scaler/scaler.go
+++ b/internal/control/scaler/scaler.go
@@ -35,7 +35,8 @@
 	shortTime = 5 * time.Second
 	// shrinkTime is how long endpoints may leave after fewer were ordered.
 	shrinkTime = 10 * time.Second
-	// startTime is how long a new holder watches before it orders fewer.
+	// startTime is how long a daemon watches before it orders anything, and a
+	// new holder before it orders fewer.
 	startTime = 2 * time.Second
 )
 
@@ -79,6 +80,10 @@
 	since time.Time
 	fence dutykeeper.Fence
 	plans map[string]*planner
+	// known is when a configuration was first there.
+	known time.Time
+	// needs is the need of each service that was logged last.
+	needs map[string]int
 	// short is when reclaimable endpoints were last found missing, lowered when
 	// fewer of a subject were last ordered.
 	short, lowered map[subject]time.Time
@@ -101,7 +106,7 @@
 func New(cfg Config) *Scaler {
 	return &Scaler{
 		cfg: cfg, given: make(map[subject]given), plans: make(map[string]*planner),
-		short: make(map[subject]time.Time), lowered: make(map[subject]time.Time),
+		needs: make(map[string]int), short: make(map[subject]time.Time), lowered: make(map[subject]time.Time),
 	}
 }
 
@@ -112,6 +117,9 @@
 		return
 	}
 	now := time.Now()
+	if s.known.IsZero() {
+		s.known = now
+	}
 	f, held := s.cfg.Keeper.Fence(s.cfg.Duty)
 	if f != s.fence {
 		s.fence, s.since = f, now
@@ -127,10 +135,13 @@
 			s.plans[svc.Name] = p
 		}
 		present := s.count(svc)
-		targets := p.plan(svc, s.cfg.Domains, present, s.shortOf(svc, now), s.cfg.Load(svc.Name), now)
-		if !held {
+		load := s.cfg.Load(svc.Name)
+		targets := p.plan(svc, s.cfg.Domains, present, s.shortOf(svc, now), load, now)
+		if !held || now.Sub(s.known) < startTime {
+			// A list that is not complete yet must not decide.
 			continue
 		}
+		s.logNeed(svc.Name, p.need, load)
 		for _, o := range targets {
 			if !s.give(ctx, f, o, present, now) {
 				return
@@ -205,6 +216,15 @@
 	return true
 }
 
+// logNeed logs what a service needs when it has changed.
+func (s *Scaler) logNeed(service string, need int, l Load) {
+	if s.needs[service] == need {
+		return
+	}
+	s.needs[service] = need
+	s.log("msg", "endpoints needed", "service", service, "need", need, "prompt_per_second", int(l.Prompt), "pace", int(l.Pace), "running", int(l.Running))
+}
+
 func (s *Scaler) log(fields ...any) {
 	// A logger that fails has nowhere to say so.
 	_ = level.Info(s.cfg.Logger).Log(fields...)
