--- a/internal/config/loader/edge.go
+++ b/internal/config/loader/edge.go
@@ -7,6 +7,9 @@
 	Ready string `yaml:"ready"`
 	// Cloud is the address of the platform's API for duties.
 	Cloud string `yaml:"cloud"`
+	// Metrics is the address at which metrics are served; empty is that of
+	// operators alone.
+	Metrics string `yaml:"metrics,omitempty"`
 	// Domains are the failure domains in which endpoints may be ordered.
 	Domains []string `yaml:"domains"`
 	// First says that the whole fleet starts for the first time.
--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -90,7 +90,7 @@
 	registry metrics.Registry
 	boot     int64
 
-	callers, ready, operators net.Listener
+	callers, ready, operators, metrics net.Listener
 
 	catalog    atomic.Pointer[registrar.Catalog]
 	tracker    *tracker.Tracker
@@ -142,7 +142,11 @@
 		{"callers", d.cfg.Settings.Callers, &d.callers},
 		{"the balancer", d.cfg.Settings.Edge.Ready, &d.ready},
 		{"operators", d.cfg.Settings.Operators, &d.operators},
+		{"metrics", d.cfg.Settings.Edge.Metrics, &d.metrics},
 	} {
+		if l.addr == "" {
+			continue
+		}
 		var err error
 		if *l.to, err = lc.Listen(ctx, "tcp", l.addr); err != nil {
 			return fmt.Errorf("listen for %s: %w", l.what, err)
@@ -221,11 +225,14 @@
 	var g errgroup.Group
 	for _, f := range []func(context.Context) error{
 		d.operator.Run, d.operator.RunPull, d.endpoints.Run, d.endpoints.RunPull, d.sharer.Run, d.runPeers, d.keeper.Run,
-		d.runSlow, d.runFast, d.runReload, d.runDuties, d.serveReady, d.serveOperators, d.serveCallers,
+		d.runSlow, d.runFast, d.runReload, d.runDuties, d.serveReady, d.serveOperators, d.serveMetrics, d.serveCallers,
 	} {
 		g.Go(func() error {
-			defer end()
-			return f(ctx)
+			err := f(ctx)
+			if err != nil {
+				end()
+			}
+			return err
 		})
 	}
 	g.Go(func() error {
--- a/internal/daemon/composer/server.go
+++ b/internal/daemon/composer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	stdlog "log"
@@ -103,9 +104,27 @@
 	return nil
 }
 
-// serveOperators serves metrics and what the daemon knows.
+// serveOperators serves what operators ask of one daemon.
 func (d *Daemon) serveOperators(ctx context.Context) error {
 	r := chi.NewRouter()
 	r.Method(http.MethodGet, "/metrics", meter.Handler(d.registry))
+	r.Get("/members", func(w http.ResponseWriter, _ *http.Request) { d.answer(w, d.sharer.Members()) })
+	r.Get("/endpoints", func(w http.ResponseWriter, _ *http.Request) { d.answer(w, d.tracker.Load()) })
 	return serveHTTP(ctx, d.operators, r)
 }
+
+// answer writes a value as JSON.
+func (d *Daemon) answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		d.log("msg", "operator not answered", "error", err)
+	}
+}
+
+// serveMetrics serves metrics at an address of their own, if there is one.
+func (d *Daemon) serveMetrics(ctx context.Context) error {
+	if d.metrics == nil {
+		return nil
+	}
+	return serveHTTP(ctx, d.metrics, meter.Handler(d.registry))
+}
