--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -220,7 +220,7 @@
 	if !ok {
 		q.cost = 0
 		return &refuser.Refusal{
-			Status: http.StatusTooManyRequests, Title: "limited", Detail: "the organisation's allowance is used up", RetryAfter: max(wait, minRetryAfter),
+			Status: http.StatusTooManyRequests, Title: "limited", Detail: fmt.Sprintf("the allowance of %g a second is used up", q.org.Rate), RetryAfter: max(wait, minRetryAfter),
 		}
 	}
 	return nil
