--- a/internal/control/accounter/accounter.go
+++ b/internal/control/accounter/accounter.go
@@ -57,6 +57,8 @@
 	Counter  *Counter
 	Store    storer.Store
 	Reporter Reporter
+	// Now is the true time of day, as well as it is known.
+	Now      func() time.Time
 	Logger   log.Logger
 	Registry metrics.Registry
 }
@@ -74,7 +76,7 @@
 
 // Tick reports what is due.
 func (a *Accounter) Tick(ctx context.Context) {
-	now := time.Now()
+	now := a.cfg.Now()
 	a.cfg.Counter.Forget(now)
 	f, ok := a.cfg.Keeper.Fence(a.cfg.Duty)
 	if !ok {
--- a/internal/control/accounter/accounter_test.go
+++ b/internal/control/accounter/accounter_test.go
@@ -54,7 +54,7 @@
 	d := &duty{fence: dutykeeper.Fence{Holder: "a", Number: number}, held: true}
 	c := NewCounter(width)
 	return holder{New(Config{
-		Duty: "platform", Late: 10 * time.Second, Keeper: d, Counter: c, Store: store, Reporter: p,
+		Duty: "platform", Late: 10 * time.Second, Keeper: d, Counter: c, Store: store, Reporter: p, Now: time.Now,
 		Logger: log.NewNopLogger(), Registry: metrics.NewRegistry(),
 	}), c, d}
 }
--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -184,7 +184,7 @@
 	})
 	d.carrier = carrier.New(carrier.Config{
 		Codec: d.cfg.Adapter.Wire, Catalog: d.catalog.Load, Endpoints: d.tracker.Load, Leave: d.tracker.Leave,
-		Chooser: d.chooser, Pool: d.pool, Allowances: d.allowances, Budget: d.budget, Usage: d.counter, Demand: d.gauge, Trials: d.roller,
+		Chooser: d.chooser, Pool: d.pool, Allowances: d.allowances, Budget: d.budget, Usage: usage{d}, Demand: d.gauge, Trials: d.roller,
 		Members: d.memberCount, Logger: d.logger, Registry: d.registry,
 	})
 	d.server = newServer(d.carrier, d.catalog.Load, d.logger)
@@ -204,6 +204,7 @@
 	})
 	d.accounter = accounter.New(accounter.Config{
 		Duty: platformDuty, Late: s.Edge.Usage.Late.Std(), Keeper: d.keeper, Counter: d.counter, Store: a.Store, Reporter: a.Reporter,
+		Now:    func() time.Time { return time.Now().Add(d.sharer.Offset()) },
 		Logger: d.logger, Registry: d.registry,
 	})
 	d.scaler = scaler.New(scaler.Config{
--- a/internal/daemon/composer/knowledge.go
+++ b/internal/daemon/composer/knowledge.go
@@ -164,6 +164,14 @@
 	return members
 }
 
+// usage counts requests in windows of the true time of day.
+type usage struct{ d *Daemon }
+
+// Began implements carrier.Usage.
+func (u usage) Began(organisation string, at time.Time) {
+	u.d.counter.Began(organisation, at.Add(u.d.sharer.Offset()))
+}
+
 // runFast keeps what depends on other daemons up to date.
 func (d *Daemon) runFast(ctx context.Context) error {
 	return ticker.Every(ctx, fastPeriod, func(context.Context) {
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -76,6 +76,8 @@
 	// Silent peers have sent nothing for some time: they are cut off, paused
 	// or gone.
 	Silent bool
+	// Ahead is by how much the peer's time of day was ahead of this daemon's.
+	Ahead time.Duration
 }
 
 // contact is an address at which there may be a daemon.
@@ -189,7 +191,7 @@
 	s.number++
 	st := Status{
 		Name: s.cfg.Name, Domain: s.cfg.Domain, Address: s.cfg.Address, Boot: s.cfg.Boot, Number: s.number,
-		Revisions: maps.Clone(s.revisions), Ages: make(map[string]int64, len(s.answered)), Stopping: s.stopping,
+		Clock: time.Now().UnixMilli(), Revisions: maps.Clone(s.revisions), Ages: make(map[string]int64, len(s.answered)), Stopping: s.stopping,
 	}
 	for part, at := range s.answered {
 		st.Ages[part] = time.Since(at).Milliseconds()
@@ -260,7 +262,8 @@
 		s.mu.Unlock()
 		return
 	}
-	p := &Peer{Status: st, Heard: time.Now()}
+	now := time.Now()
+	p := &Peer{Status: st, Heard: now, Ahead: time.Duration(st.Clock-now.UnixMilli()) * time.Millisecond}
 	s.peers[st.Name] = p
 	if s.transport != nil && (old == nil || old.Boot != st.Boot) {
 		// A connection made earlier led to a former process.
@@ -332,6 +335,21 @@
 	return members + 1, silent
 }
 
+// Offset is what must be added to this daemon's time of day to get the median of
+// all that are heard, so that a clock that was stepped does not count.
+func (s *Sharer) Offset() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := []time.Duration{0}
+	for _, p := range s.peers {
+		if !p.Silent {
+			all = append(all, p.Ahead)
+		}
+	}
+	slices.Sort(all)
+	return all[(len(all)-1)/2]
+}
+
 // Members returns this daemon and the others in the form that duties are dealt
 // out by.
 func (s *Sharer) Members() []viewer.Member {
--- a/internal/fleet/sharer/sharer_test.go
+++ b/internal/fleet/sharer/sharer_test.go
@@ -227,3 +227,23 @@
 		}
 	})
 }
+
+func TestOffsetIsThatOfTheMedianClock(t *testing.T) {
+	for _, tc := range []struct {
+		ahead []time.Duration
+		want  time.Duration
+	}{
+		{nil, 0},
+		{[]time.Duration{2 * time.Second, 0, time.Millisecond, 0}, 0},
+		// This daemon's own clock was stepped.
+		{[]time.Duration{-3 * time.Second, -3 * time.Second, -3 * time.Second, 0}, -3 * time.Second},
+	} {
+		s := New(Config{Logger: log.NewNopLogger(), Registry: metrics.NewRegistry()})
+		for i, d := range tc.ahead {
+			s.peers[fmt.Sprint(i)] = &Peer{Ahead: d}
+		}
+		if got := s.Offset(); got != tc.want {
+			t.Errorf("others ahead by %v: got %s, want %s", tc.ahead, got, tc.want)
+		}
+	}
+}
