Send smaller statuses in a large fleet, and weigh a sample of its endpoints

Addresses and windows now come with every eighth and second status of a large fleet, changes are taken from any daemon that has them, and of more than 40 endpoints a sample of six and two homes is weighed, since what is known of them is up to 0.7 s old.

--- a/internal/control/scaler/planner.go
+++ b/internal/control/scaler/planner.go
@@ -9,7 +9,7 @@
 
 const (
 	// fullness is the part of the engines' time that reading prompts may take.
-	fullness = 0.45
+	fullness = 0.5
 	// slotFullness is the part of the slots that may be in use.
 	slotFullness = 0.5
 	// standingShare is the part of the endpoints that must not be reclaimable.
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +29,13 @@
 	// baseSize is the number of peers up to which basePeriod holds; beyond, the
 	// period grows with the fleet, so that the load of a daemon stays bounded.
 	baseSize = 12
+	// peersEvery and windowsEvery are how many statuses pass from one with the
+	// addresses of peers, or the windows of usage, to the next in a large fleet,
+	// so that most statuses fit a datagram.
+	peersEvery   = 8
+	windowsEvery = 2
+	// statusDelays is how many periods a status may be late.
+	statusDelays = 2
 	// silence is how many periods without a status make a peer silent.
 	silence = 5
 	// forgetTime is how long a silent peer counts as a member that may still
@@ -175,6 +183,11 @@
 	s.age()
 	st := s.own()
 	s.cfg.Fill(&st)
+	s.mu.Lock()
+	if s.large() && st.Number%windowsEvery != 0 {
+		st.Windows = nil
+	}
+	s.mu.Unlock()
 	b, err := cbor.Marshal(st)
 	if err != nil {
 		s.log("msg", "status not sent", "error", err)
@@ -196,14 +209,19 @@
 	for part, at := range s.answered {
 		st.Ages[part] = time.Since(at).Milliseconds()
 	}
-	for _, p := range s.peers {
-		if !p.Silent {
-			st.Peers = append(st.Peers, p.Address)
+	if !s.large() || s.number%peersEvery == 0 {
+		for _, p := range s.peers {
+			if !p.Silent {
+				st.Peers = append(st.Peers, p.Address)
+			}
 		}
 	}
 	return st
 }
 
+// large reports whether the fleet is too large for every status to hold all.
+func (s *Sharer) large() bool { return len(s.peers) > baseSize }
+
 // targets returns the addresses that are due for a status: those of peers that
 // are heard, and now and then all others.
 func (s *Sharer) targets() []string {
@@ -263,6 +281,9 @@
 		return
 	}
 	now := time.Now()
+	if old != nil && old.Boot == st.Boot && st.Windows == nil {
+		st.Windows = old.Windows
+	}
 	p := &Peer{Status: st, Heard: now, Ahead: time.Duration(st.Clock-now.UnixMilli()) * time.Millisecond}
 	s.peers[st.Name] = p
 	if s.transport != nil && (old == nil || old.Boot != st.Boot) {
@@ -376,14 +397,29 @@
 func (s *Sharer) Ahead(part string, revision uint64) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	best, addr := revision, ""
-	for _, name := range slices.Sorted(maps.Keys(s.peers)) {
-		p := s.peers[name]
-		if r := p.Revisions[part]; !p.Silent && r > best {
-			best, addr = r, p.Address
+	best := revision
+	var near, all []string
+	for _, p := range s.peers {
+		r := p.Revisions[part]
+		if p.Silent || r <= revision || r < best {
+			continue
+		}
+		if r > best {
+			best, near, all = r, nil, nil
+		}
+		all = append(all, p.Address)
+		if p.Domain == s.cfg.Domain {
+			near = append(near, p.Address)
+		}
+	}
+	// Daemons of the own failure domain go first, and no single one is asked by
+	// all others.
+	for _, list := range [][]string{near, all} {
+		if len(list) > 0 {
+			return list[rand.IntN(len(list))]
 		}
 	}
-	return addr
+	return ""
 }
 
 // Revised implements syncer.Peers.
@@ -415,6 +451,7 @@
 
 // Answers implements syncer.Peers.
 func (s *Sharer) Answers(part string, within time.Duration) bool {
+	within += statusDelays * s.Period()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.peers {
--- a/internal/traffic/chooser/chooser.go
+++ b/internal/traffic/chooser/chooser.go
@@ -4,6 +4,8 @@
 package chooser
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -100,8 +102,9 @@
 	var best Choice
 	var bestCost time.Duration
 	found, slots, running, n := false, 0, 0, 0
+	keep := sampleOf(endpoints, q)
 	for _, e := range endpoints {
-		if !usable(q, e) {
+		if !usable(q, e) || !keep(e.ID) {
 			continue
 		}
 		s := c.state(e.ID, e.Born)
@@ -127,7 +130,39 @@
 	return best, found
 }
 
-// Usable reports whether any endpoint could take the request at all.
+const (
+	// sampleLimit is the number of endpoints up to which all are weighed.
+	sampleLimit = 40
+	// sampleSize is the number weighed of more: what is known of them is older
+	// in a large fleet, and daemons that all choose the best would meet there.
+	sampleSize = 6
+	// homes is the number of endpoints, beside the sample, at which requests
+	// with the same shared parts meet.
+	homes = 2
+)
+
+// sampleOf returns which endpoints are weighed.
+func sampleOf(endpoints []tracker.Endpoint, q Query) func(id string) bool {
+	if len(endpoints) <= sampleLimit {
+		return func(string) bool { return true }
+	}
+	kept := make(map[string]bool, sampleSize+homes)
+	for range sampleSize {
+		kept[endpoints[rand.IntN(len(endpoints))].ID] = true
+	}
+	left := q
+	for range homes {
+		home := homeOf(left, endpoints)
+		if home == "" {
+			break
+		}
+		kept[home] = true
+		left.Excluded = append(slices.Clone(left.Excluded), home)
+	}
+	return func(id string) bool { return kept[id] }
+}
+
+// usable reports whether any endpoint could take the request at all.
 func usable(q Query, e tracker.Endpoint) bool {
 	for _, id := range q.Excluded {
 		if id == e.ID {
