--- a/internal/config/loader/edge.go
+++ b/internal/config/loader/edge.go
@@ -52,8 +52,6 @@
 type Exposure struct {
 	// Share is the part of a service's requests, from 0 to 1.
 	Share float64 `yaml:"share"`
-	// Extra is requests beside the share.
-	Extra int `yaml:"extra"`
 }
 
 // check reports what is missing for serving such a platform.
--- a/internal/control/accounter/accounter.go
+++ b/internal/control/accounter/accounter.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
 	"pomelotiller/internal/control/dutykeeper"
+	"pomelotiller/internal/observe/logger"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/remote/storer"
 )
@@ -42,18 +42,12 @@
 	Report(ctx context.Context, f dutykeeper.Fence, r Report) error
 }
 
-// Duty is the part of the duty's keeper that an Accounter needs.
-type Duty interface {
-	Fence(duty string) (dutykeeper.Fence, bool)
-	Yield(ctx context.Context, duty string)
-}
-
 // Config configures an Accounter.
 type Config struct {
 	Duty string
 	// Late is how long after its end a window may be reported.
 	Late     time.Duration
-	Keeper   Duty
+	Keeper   dutykeeper.Holder
 	Counter  *Counter
 	Store    storer.Store
 	Reporter Reporter
@@ -175,7 +169,4 @@
 
 func key(w int64) string { return Prefix + strconv.FormatInt(w, 10) }
 
-func (a *Accounter) log(fields ...any) {
-	// A logger that fails has nowhere to say so.
-	_ = level.Info(a.cfg.Logger).Log(fields...)
-}
+func (a *Accounter) log(fields ...any) { logger.Info(a.cfg.Logger, fields...) }
--- a/internal/control/dutykeeper/dutykeeper.go
+++ b/internal/control/dutykeeper/dutykeeper.go
@@ -68,6 +68,14 @@
 	Number uint64
 }
 
+// Holder is what those who act under a duty need of its keeper.
+type Holder interface {
+	// Fence returns what calls must carry, if this daemon has the duty.
+	Fence(duty string) (Fence, bool)
+	// Yield gives the duty back, since a call under it was fenced.
+	Yield(ctx context.Context, duty string)
+}
+
 // Grant is a duty held by this daemon.
 type Grant struct {
 	Epoch uint64
--- a/internal/control/roller/roller.go
+++ b/internal/control/roller/roller.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
 	"pomelotiller/internal/fleet/sharer"
+	"pomelotiller/internal/observe/logger"
 	"pomelotiller/internal/observe/meter"
 )
 
@@ -319,7 +319,4 @@
 	r.log("msg", "move published", "service", m.Service, "release", m.Release, "state", s)
 }
 
-func (r *Roller) log(fields ...any) {
-	// A logger that fails has nowhere to say so.
-	_ = level.Info(r.cfg.Logger).Log(fields...)
-}
+func (r *Roller) log(fields ...any) { logger.Info(r.cfg.Logger, fields...) }
--- a/internal/control/scaler/planner.go
+++ b/internal/control/scaler/planner.go
@@ -1,7 +1,10 @@
 package scaler
 
 import (
+	"maps"
 	"math"
+	"slices"
+	"strings"
 	"time"
 
 	"pomelotiller/internal/config/registrar"
@@ -113,3 +116,35 @@
 	}
 	return int(math.Ceil(float64(n) * (1 - standingShare) * spareDomains / float64(domains-spareDomains) / 2))
 }
+
+// sortedDomains returns the domains from the cheapest to the dearest.
+func sortedDomains(domains []string, prices map[string]float64) []string {
+	out := slices.Clone(domains)
+	slices.SortStableFunc(out, func(a, b string) int {
+		pa, pb := price(prices, a), price(prices, b)
+		switch {
+		case pa < pb:
+			return -1
+		case pa > pb:
+			return 1
+		}
+		return strings.Compare(a, b)
+	})
+	return out
+}
+
+func price(prices map[string]float64, domain string) float64 {
+	if p, ok := prices[domain]; ok {
+		return p
+	}
+	return 1
+}
+
+// total sums up the counts of all subjects.
+func total(counts map[subject]int) int {
+	n := 0
+	for v := range maps.Values(counts) {
+		n += v
+	}
+	return n
+}
--- a/internal/control/scaler/scaler.go
+++ b/internal/control/scaler/scaler.go
@@ -5,18 +5,15 @@
 import (
 	"context"
 	"errors"
-	"maps"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
 	"pomelotiller/internal/config/registrar"
 	"pomelotiller/internal/control/dutykeeper"
 	"pomelotiller/internal/fleet/tracker"
+	"pomelotiller/internal/observe/logger"
 	"pomelotiller/internal/observe/meter"
 )
 
@@ -53,16 +50,10 @@
 	Order(ctx context.Context, f dutykeeper.Fence, o Order) error
 }
 
-// Duty is the part of the duty's keeper that a Scaler needs.
-type Duty interface {
-	Fence(duty string) (dutykeeper.Fence, bool)
-	Yield(ctx context.Context, duty string)
-}
-
 // Config configures a Scaler.
 type Config struct {
 	Duty      string
-	Keeper    Duty
+	Keeper    dutykeeper.Holder
 	Orderer   Orderer
 	Domains   []string
 	Catalog   func() *registrar.Catalog
@@ -225,39 +216,4 @@
 	s.log("msg", "endpoints needed", "service", service, "need", need, "prompt_per_second", int(l.Prompt), "pace", int(l.Pace), "running", int(l.Running))
 }
 
-func (s *Scaler) log(fields ...any) {
-	// A logger that fails has nowhere to say so.
-	_ = level.Info(s.cfg.Logger).Log(fields...)
-}
-
-// sortedDomains returns the domains from the cheapest to the dearest.
-func sortedDomains(domains []string, prices map[string]float64) []string {
-	out := slices.Clone(domains)
-	slices.SortStableFunc(out, func(a, b string) int {
-		pa, pb := price(prices, a), price(prices, b)
-		switch {
-		case pa < pb:
-			return -1
-		case pa > pb:
-			return 1
-		}
-		return strings.Compare(a, b)
-	})
-	return out
-}
-
-func price(prices map[string]float64, domain string) float64 {
-	if p, ok := prices[domain]; ok {
-		return p
-	}
-	return 1
-}
-
-// total sums up the counts of all subjects.
-func total(counts map[subject]int) int {
-	n := 0
-	for v := range maps.Values(counts) {
-		n += v
-	}
-	return n
-}
+func (s *Scaler) log(fields ...any) { logger.Info(s.cfg.Logger, fields...) }
--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
@@ -49,8 +48,10 @@
 
 // Adapter is what a platform must offer, in the product's words.
 type Adapter struct {
-	Store    storer.Store
-	Wire     carrier.Codec
+	Store storer.Store
+	Wire  carrier.Codec
+	// Reporter and Orderer are nil where the platform does not ask for that
+	// duty.
 	Reporter accounter.Reporter
 	Orderer  scaler.Orderer
 	// OperatorPart and EndpointPart are the parts of the store that the
@@ -324,7 +325,4 @@
 	return nil
 }
 
-func (d *Daemon) log(fields ...any) {
-	// A logger that fails has nowhere to say so.
-	_ = level.Info(d.logger).Log(fields...)
-}
+func (d *Daemon) log(fields ...any) { logger.Info(d.logger, fields...) }
--- a/internal/daemon/composer/knowledge.go
+++ b/internal/daemon/composer/knowledge.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"net"
 	"slices"
 	"time"
 
-	"pomelotiller/internal/control/roller"
+	"golang.org/x/sync/errgroup"
+
 	"pomelotiller/internal/control/scaler"
 	"pomelotiller/internal/fleet/issuer"
 	"pomelotiller/internal/fleet/messenger"
@@ -197,14 +196,19 @@
 
 // runDuties does the work of the duties that this daemon has.
 func (d *Daemon) runDuties(ctx context.Context) error {
-	go func() {
-		// The end of ctx is no error.
-		_ = ticker.Every(ctx, dutyPeriod, d.scaler.Tick)
-	}()
-	go func() {
-		_ = ticker.Every(ctx, dutyPeriod, d.roller.Tick)
-	}()
-	return ticker.Every(ctx, dutyPeriod, d.accounter.Tick)
+	works := []func(context.Context){d.roller.Tick}
+	if d.cfg.Adapter.Reporter != nil {
+		works = append(works, d.accounter.Tick)
+	}
+	if d.cfg.Adapter.Orderer != nil {
+		works = append(works, d.scaler.Tick)
+	}
+	var g errgroup.Group
+	for _, w := range works {
+		// A slow call of one work must not hold up another.
+		g.Go(func() error { return ticker.Every(ctx, dutyPeriod, w) })
+	}
+	return g.Wait()
 }
 
 // runPeers gets key material, joins the other daemons and serves them.
@@ -218,7 +222,7 @@
 		if first {
 			d.log("msg", "no key material yet", "error", err)
 		}
-		if !wait(ctx, joinDelay) {
+		if !ticker.Pause(ctx, joinDelay) {
 			return nil
 		}
 	}
@@ -262,7 +266,7 @@
 			d.joined.Store(true)
 			return
 		}
-		if !wait(ctx, joinDelay) {
+		if !ticker.Pause(ctx, joinDelay) {
 			return
 		}
 		d.log("msg", "not registered", "error", err)
@@ -299,55 +303,3 @@
 	_, err = store.Swap(ctx, storer.Write{Key: key, Value: b, Expect: expect})
 	return err
 }
-
-// wait pauses, and reports whether ctx still lasts.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
-// moveStore keeps the states of moves where the operator reads them.
-type moveStore struct{ a Adapter }
-
-// Publish implements roller.Publisher.
-func (m moveStore) Publish(ctx context.Context, o roller.Order, s roller.State) error {
-	key, value, err := m.a.Status(o.Service, o.Release, s)
-	if err != nil {
-		return err
-	}
-	e, err := m.a.Store.Get(ctx, key)
-	if err != nil && !errors.Is(err, storer.ErrNotFound) {
-		return err
-	}
-	if string(e.Value) == string(value) {
-		return nil
-	}
-	if _, err = m.a.Store.Swap(ctx, storer.Write{Key: key, Value: value, Expect: e.Revision}); err != nil {
-		return fmt.Errorf("write state of move: %w", err)
-	}
-	return nil
-}
-
-// Published implements roller.Publisher.
-func (m moveStore) Published(ctx context.Context, o roller.Order) (roller.State, bool, error) {
-	key, _, err := m.a.Status(o.Service, o.Release, roller.StateActive)
-	if err != nil {
-		return roller.StateActive, false, err
-	}
-	e, err := m.a.Store.Get(ctx, key)
-	if errors.Is(err, storer.ErrNotFound) {
-		return roller.StateActive, false, nil
-	}
-	if err != nil {
-		return roller.StateActive, false, err
-	}
-	release, s, err := m.a.State(e.Value)
-	// A state that is older than the order is that of an earlier move.
-	return s, err == nil && release == o.Release && e.Revision > o.Revision, err
-}
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -7,19 +7,16 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
 	"pomelotiller/internal/fleet/messenger"
-	"pomelotiller/internal/fleet/ranker"
-	"pomelotiller/internal/fleet/viewer"
+	"pomelotiller/internal/observe/logger"
 	"pomelotiller/internal/observe/meter"
 )
 
@@ -322,106 +319,6 @@
 	}
 }
 
-// Peers returns the other daemons, sorted by name.
-func (s *Sharer) Peers() []Peer {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make([]Peer, 0, len(s.peers))
-	for _, name := range slices.Sorted(maps.Keys(s.peers)) {
-		out = append(out, *s.peers[name])
-	}
-	return out
-}
-
-// Count returns how many daemons there may be, with this one, and how many of
-// them are not heard. An address that was never heard from counts for some time,
-// since a daemon that has just started knows no more of the others.
-func (s *Sharer) Count() (members, silent int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	known := make(map[string]bool, len(s.peers))
-	for _, p := range s.peers {
-		known[p.Address] = true
-		members++
-		if p.Silent {
-			silent++
-		}
-	}
-	for a, c := range s.contacts {
-		if !known[a] && time.Since(c.since) < forgetTime {
-			members++
-			silent++
-		}
-	}
-	return members + 1, silent
-}
-
-// Offset is what must be added to this daemon's time of day to get the median of
-// all that are heard, so that a clock that was stepped does not count.
-func (s *Sharer) Offset() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	all := []time.Duration{0}
-	for _, p := range s.peers {
-		if !p.Silent {
-			all = append(all, p.Ahead)
-		}
-	}
-	slices.Sort(all)
-	return all[(len(all)-1)/2]
-}
-
-// Members returns this daemon and the others in the form that duties are dealt
-// out by.
-func (s *Sharer) Members() []viewer.Member {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	state := func(silent, stopping bool) viewer.State {
-		switch {
-		case stopping:
-			return viewer.StateLeaving
-		case silent:
-			return viewer.StateSuspected
-		}
-		return viewer.StateAlive
-	}
-	out := []viewer.Member{{Name: s.cfg.Name, Domain: s.cfg.Domain, Peers: s.cfg.Address, State: state(false, s.stopping)}}
-	for _, name := range slices.Sorted(maps.Keys(s.peers)) {
-		p := s.peers[name]
-		out = append(out, viewer.Member{Name: name, Domain: p.Domain, Peers: p.Address, State: state(p.Silent, p.Stopping)})
-	}
-	return out
-}
-
-// Ahead implements syncer.Peers.
-func (s *Sharer) Ahead(part string, revision uint64) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	best := revision
-	var near, all []string
-	for _, p := range s.peers {
-		r := p.Revisions[part]
-		if p.Silent || r <= revision || r < best {
-			continue
-		}
-		if r > best {
-			best, near, all = r, nil, nil
-		}
-		all = append(all, p.Address)
-		if p.Domain == s.cfg.Domain {
-			near = append(near, p.Address)
-		}
-	}
-	// Daemons of the own failure domain go first, and no single one is asked by
-	// all others.
-	for _, list := range [][]string{near, all} {
-		if len(list) > 0 {
-			return list[rand.IntN(len(list))]
-		}
-	}
-	return ""
-}
-
 // Revised implements syncer.Peers.
 func (s *Sharer) Revised(part string, revision uint64) {
 	s.mu.Lock()
@@ -430,39 +327,6 @@
 	s.Hasten()
 }
 
-// Answered implements syncer.Peers.
-func (s *Sharer) Answered(part string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.answered[part] = time.Now()
-}
-
-// Follows implements syncer.Peers. In each failure domain one daemon follows a
-// part of the store; the others do so only while they hear of nobody whom the
-// store answers.
-func (s *Sharer) Follows(part string, within time.Duration) bool {
-	members := s.Members()
-	near := slices.DeleteFunc(slices.Clone(members), func(m viewer.Member) bool { return m.Domain != s.cfg.Domain })
-	if ranker.First(part, near) == s.cfg.Name {
-		return true
-	}
-	return !s.Answers(part, within)
-}
-
-// Answers implements syncer.Peers.
-func (s *Sharer) Answers(part string, within time.Duration) bool {
-	within += statusDelays * s.Period()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.peers {
-		age, ok := p.Ages[part]
-		if ok && !p.Silent && time.Since(p.Heard)+time.Duration(age)*time.Millisecond < within {
-			return true
-		}
-	}
-	return false
-}
-
 // Call implements syncer.Peers.
 func (s *Sharer) Call(ctx context.Context, addr, kind string, body []byte) ([]byte, error) {
 	s.mu.Lock()
@@ -471,7 +335,4 @@
 	return t.Call(ctx, addr, kind, body)
 }
 
-func (s *Sharer) log(fields ...any) {
-	// A logger that fails has nowhere to say so.
-	_ = level.Info(s.cfg.Logger).Log(fields...)
-}
+func (s *Sharer) log(fields ...any) { logger.Info(s.cfg.Logger, fields...) }
--- a/internal/fleet/syncer/syncer.go
+++ b/internal/fleet/syncer/syncer.go
@@ -14,9 +14,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
+	"pomelotiller/internal/fleet/ticker"
+	"pomelotiller/internal/observe/logger"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/remote/storer"
 )
@@ -111,7 +112,7 @@
 	relist := true
 	for ctx.Err() == nil {
 		if s.Loaded() && !s.cfg.Peers.Follows(s.cfg.Prefix, s.cfg.Fresh) {
-			pause(ctx, turnPeriod)
+			ticker.Pause(ctx, turnPeriod)
 			continue
 		}
 		err := s.follow(ctx, relist)
@@ -123,7 +124,7 @@
 			s.log("msg", "store history compacted", "part", s.cfg.Prefix, "outcome", "list again")
 		default:
 			s.noteFailure(err)
-			pause(ctx, delay)
+			ticker.Pause(ctx, delay)
 			delay = min(2*delay, lastDelay)
 		}
 	}
@@ -318,16 +319,4 @@
 	return cbor.Marshal(p)
 }
 
-func (s *Syncer) log(fields ...any) {
-	// A logger that fails has nowhere to say so.
-	_ = level.Info(s.cfg.Logger).Log(fields...)
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
+func (s *Syncer) log(fields ...any) { logger.Info(s.cfg.Logger, fields...) }
--- a/internal/fleet/ticker/ticker.go
+++ b/internal/fleet/ticker/ticker.go
@@ -20,3 +20,15 @@
 		}
 	}
 }
+
+// Pause waits, and reports whether ctx still lasts.
+func Pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -12,7 +12,8 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
+
+	"pomelotiller/internal/observe/logger"
 )
 
 // returnTime is how long after the store's return an entry that lapsed meanwhile
@@ -208,7 +209,4 @@
 	t.snapshot.Store(s)
 }
 
-func (t *Tracker) log(fields ...any) {
-	// A logger that fails has nowhere to say so.
-	_ = level.Info(t.cfg.Logger).Log(fields...)
-}
+func (t *Tracker) log(fields ...any) { logger.Info(t.cfg.Logger, fields...) }
--- a/internal/observe/logger/logger.go
+++ b/internal/observe/logger/logger.go
@@ -43,3 +43,9 @@
 	l = log.With(l, "time", log.DefaultTimestampUTC)
 	return log.With(l, fields...), nil
 }
+
+// Info writes a line. A logger that fails has nowhere to say so.
+func Info(l log.Logger, fields ...any) { _ = level.Info(l).Log(fields...) }
+
+// Warn writes a line about a failure.
+func Warn(l log.Logger, fields ...any) { _ = level.Warn(l).Log(fields...) }
--- a/internal/traffic/carrier/account.go
+++ b/internal/traffic/carrier/account.go
@@ -5,9 +5,9 @@
 	"strconv"
 	"time"
 
-	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
+	"pomelotiller/internal/observe/logger"
 	"pomelotiller/internal/observe/meter"
 )
 
@@ -32,11 +32,10 @@
 	}
 	if err != nil {
 		fields = append(fields, "error", err)
-		// A logger that fails has nowhere to say so.
-		_ = level.Warn(c.cfg.Logger).Log(fields...)
+		logger.Warn(c.cfg.Logger, fields...)
 		return
 	}
-	_ = level.Info(c.cfg.Logger).Log(fields...)
+	logger.Info(c.cfg.Logger, fields...)
 }
 
 // timeFirst observes the time to the first event of a stream.
@@ -66,13 +65,13 @@
 	if err != nil {
 		fields = append(fields, "run", q.state, "error", err)
 		meter.Count(c.cfg.Registry, 1, "attempt_failures_total", "service", q.service.Name)
-		_ = level.Warn(c.cfg.Logger).Log(fields...)
+		logger.Warn(c.cfg.Logger, fields...)
 		return
 	}
-	_ = level.Info(c.cfg.Logger).Log(fields...)
+	logger.Info(c.cfg.Logger, fields...)
 }
 
 func (c *Carrier) logForeign(q *request, a *answer, status int) {
-	_ = level.Warn(c.cfg.Logger).Log("msg", "answer of another request passed over", "id", q.ID, "endpoint", a.choice.Endpoint.ID, "status", status)
+	logger.Warn(c.cfg.Logger, "msg", "answer of another request passed over", "id", q.ID, "endpoint", a.choice.Endpoint.ID, "status", status)
 	meter.Count(c.cfg.Registry, 1, "foreign_answers_total")
 }
--- a/internal/traffic/carrier/attempt.go
+++ b/internal/traffic/carrier/attempt.go
@@ -102,7 +102,7 @@
 	stop()
 	if err != nil {
 		q.state = max(q.state, refuser.Unknown)
-		return &attemptError{run: refuser.Unknown, sent: true, why: why, err: err}
+		return &attemptError{sent: true, why: why, err: err}
 	}
 	return a.judge(q)
 }
@@ -186,9 +186,9 @@
 
 // judge turns answers that promise that the request was not run into errors.
 func (a *answer) judge(q *request) error {
-	if a.verdict.Leaving {
+	if a.verdict.Misdirected {
 		e := a.choice.Endpoint
-		a.c.cfg.Leave(e.ID, e.Born, "its answer says so")
+		a.c.cfg.Leave(e.ID, e.Born, "another endpoint has its address")
 	}
 	if !a.verdict.NotRun {
 		q.state = refuser.Ran
--- a/internal/traffic/carrier/codec.go
+++ b/internal/traffic/carrier/codec.go
@@ -45,8 +45,6 @@
 	Foreign bool
 	// NotRun says that the endpoint did not and will not run the request.
 	NotRun bool
-	// Leaving says that the endpoint is about to end.
-	Leaving bool
 	// Misdirected says that another endpoint has the address.
 	Misdirected bool
 	// Idle is how long the endpoint keeps an idle connection; 0 if unstated.
--- a/internal/traffic/carrier/deliver.go
+++ b/internal/traffic/carrier/deliver.go
@@ -12,7 +12,6 @@
 
 	"pomelotiller/internal/config/registrar"
 	"pomelotiller/internal/traffic/chooser"
-	"pomelotiller/internal/traffic/refuser"
 )
 
 const (
@@ -44,7 +43,7 @@
 	a.began(q)
 	if err != nil {
 		a.end(resultOf(ctx, err), false)
-		err = &attemptError{run: refuser.Ran, sent: true, why: "answer broke off", err: err}
+		err = &attemptError{sent: true, why: "answer broke off", err: err}
 		c.logAttempt(q, a, err)
 		return err
 	}
@@ -57,7 +56,7 @@
 		return c.write(q, a)
 	}
 	a.end(chooser.ResultFailed, true)
-	err = &attemptError{run: refuser.Ran, sent: true, why: fmt.Sprintf("status %d", a.res.StatusCode)}
+	err = &attemptError{sent: true, why: fmt.Sprintf("status %d", a.res.StatusCode)}
 	c.logAttempt(q, a, err)
 	q.last = a
 	return err
@@ -133,7 +132,7 @@
 	}
 	a.end(resultOf(ctx, err), false)
 	c.cfg.Trials.Answered(q.service.Name, a.choice.Endpoint.Version, false, false)
-	err = &attemptError{run: refuser.Ran, sent: true, why: "stream broke off", err: err}
+	err = &attemptError{sent: true, why: "stream broke off", err: err}
 	c.logAttempt(q, a, err)
 	return err
 }
--- a/internal/traffic/carrier/serve.go
+++ b/internal/traffic/carrier/serve.go
@@ -101,8 +101,6 @@
 
 // attemptError says why an attempt brought no answer to deliver.
 type attemptError struct {
-	// run says whether this attempt may have run the request.
-	run refuser.RunState
 	// sent says whether a byte of it may have reached the endpoint.
 	sent bool
 	why  string
--- /dev/null
+++ b/internal/traffic/chooser/chooser_test.go
@@ -0,0 +1,165 @@
+package chooser
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pomelotiller/internal/fleet/sharer"
+	"pomelotiller/internal/fleet/tracker"
+)
+
+// clock is a time that tests set.
+type clock struct{ at time.Time }
+
+func (c *clock) now() time.Time { return c.at }
+
+func newChooser() (*Chooser, *clock) {
+	c := &clock{at: time.Unix(1000, 0)}
+	return New(Config{Domain: "z0", Now: c.now}), c
+}
+
+func endpoints(n int) []tracker.Endpoint {
+	var out []tracker.Endpoint
+	for i := range n {
+		out = append(out, tracker.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Domain: fmt.Sprint("z", i%3), Slots: 128, Version: "v1"})
+	}
+	return out
+}
+
+// prompt is a request whose first part is shared by all with the same name.
+func prompt(shared string, n int) Query {
+	return Query{Service: "s", Prompt: 6300 + 2900, Output: 50, Parts: []Part{{shared, 6300}, {fmt.Sprint("own", n), 2900}}}
+}
+
+func TestSharedPromptsMeet(t *testing.T) {
+	a, _ := newChooser()
+	b, _ := newChooser()
+	list := endpoints(9)
+	first, ok := a.Pick(prompt("site", 1), list)
+	if !ok {
+		t.Fatal("got no endpoint, want one")
+	}
+	second, _ := b.Pick(prompt("site", 2), list)
+	if first.Endpoint.ID != second.Endpoint.ID {
+		t.Errorf("two daemons choose %s and %s, want the same", first.Endpoint.ID, second.Endpoint.ID)
+	}
+}
+
+// One prompt gets much of the traffic: its endpoint is left once waiting there
+// costs more than reading the prompt elsewhere.
+func TestHotPromptSpreads(t *testing.T) {
+	c, _ := newChooser()
+	list := endpoints(9)
+	counts := make(map[string]int)
+	for i := range 60 {
+		q := prompt("hot", i)
+		ch, ok := c.Pick(q, list)
+		if !ok {
+			t.Fatal("got no endpoint, want one")
+		}
+		counts[ch.Endpoint.ID]++
+		c.Start(q, ch)
+	}
+	for id, n := range counts {
+		if n > 30 {
+			t.Errorf("got %d of 60 requests at %s, want them spread", n, id)
+		}
+	}
+}
+
+func TestLoadOfOtherDaemonsCounts(t *testing.T) {
+	c, _ := newChooser()
+	list := endpoints(3)
+	q := Query{Service: "s", Prompt: 1000}
+	ch, _ := c.Pick(q, list)
+	c.SetPeer("other", []sharer.Load{{Endpoint: ch.Endpoint.ID, Running: 20, Prompt: 60_000}})
+	next, _ := c.Pick(q, list)
+	if next.Endpoint.ID == ch.Endpoint.ID {
+		t.Errorf("got %s again, though another daemon has 60,000 tokens there", next.Endpoint.ID)
+	}
+	c.SetPeer("other", nil)
+	if next, _ = c.Pick(q, list); next.Endpoint.ID != ch.Endpoint.ID {
+		t.Errorf("got %s after the other daemon went silent, want %s", next.Endpoint.ID, ch.Endpoint.ID)
+	}
+}
+
+func TestWaitGrowsWithThePrompts(t *testing.T) {
+	c, _ := newChooser()
+	list := endpoints(1)
+	q := Query{Service: "s", Prompt: 20_000}
+	idle, _ := c.Pick(q, list)
+	a := c.Start(q, idle)
+	busy, _ := c.Pick(q, list)
+	if busy.Wait < idle.Wait+200*time.Millisecond {
+		t.Errorf("got a wait of %s behind 20,000 tokens and %s without, want much more", busy.Wait, idle.Wait)
+	}
+	a.First()
+	a.End(ResultGood)
+	if again, _ := c.Pick(q, list); again.Wait > idle.Wait+time.Millisecond {
+		t.Errorf("got a wait of %s after the end, want %s", again.Wait, idle.Wait)
+	}
+}
+
+// Endpoints fail part of their requests while their announcements are good.
+func TestFailingEndpointIsAvoided(t *testing.T) {
+	for _, r := range []Result{ResultFailed, ResultBroken, ResultUnreachable} {
+		c, clk := newChooser()
+		list := endpoints(3)
+		q := Query{Service: "s"}
+		bad, _ := c.Pick(q, list)
+		for range 3 {
+			c.Start(q, bad).End(r)
+		}
+		if ch, _ := c.Pick(q, list); ch.Endpoint.ID == bad.Endpoint.ID {
+			t.Errorf("result %d: got the failing endpoint again, want another", r)
+		}
+		clk.at = clk.at.Add(time.Minute)
+		if ch, _ := c.Pick(q, list); ch.Endpoint.ID != bad.Endpoint.ID {
+			t.Errorf("result %d: got %s after a minute, want the former endpoint to be tried again", r, ch.Endpoint.ID)
+		}
+	}
+}
+
+func TestExcludedAndReleases(t *testing.T) {
+	c, _ := newChooser()
+	list := endpoints(2)
+	list[1].Version = "v2"
+	if _, ok := c.Pick(Query{Service: "s", Excluded: []string{"e0"}, Releases: func(r string) bool { return r == "v1" }}, list); ok {
+		t.Error("got an endpoint, want none")
+	}
+	ch, ok := c.Pick(Query{Service: "s", Releases: func(r string) bool { return r == "v2" }}, list)
+	if !ok || ch.Endpoint.ID != "e1" {
+		t.Errorf("got %s (%t), want e1", ch.Endpoint.ID, ok)
+	}
+}
+
+// A new start under the same id has nothing in flight and nothing cached.
+func TestRestartedEndpointBeginsAnew(t *testing.T) {
+	c, _ := newChooser()
+	list := endpoints(1)
+	q := prompt("site", 1)
+	ch, _ := c.Pick(q, list)
+	c.Start(q, ch)
+	list[0].Born = 2
+	again, _ := c.Pick(q, list)
+	if again.Running != 0 || again.Unread != q.Prompt {
+		t.Errorf("got %d running and %d unread, want none and %d", again.Running, again.Unread, q.Prompt)
+	}
+}
+
+func TestOnlyASampleOfManyIsWeighed(t *testing.T) {
+	c, _ := newChooser()
+	list := endpoints(90)
+	chosen := make(map[string]bool)
+	for range 200 {
+		ch, ok := c.Pick(Query{Service: "s", Prompt: 100}, list)
+		if !ok || ch.Candidates > sampleSize+homes {
+			t.Fatalf("got %d candidates (%t), want %d at most", ch.Candidates, ok, sampleSize+homes)
+		}
+		chosen[ch.Endpoint.ID] = true
+	}
+	if len(chosen) < 20 {
+		t.Errorf("200 idle choices meet at %d endpoints, want them spread", len(chosen))
+	}
+}
