--- a/internal/standin/steward/handler.go
+++ b/internal/standin/steward/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -54,6 +55,9 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		case FaultSilent:
+			// The server notices that the caller leaves only once the body is
+			// read; a body that breaks off is no matter here.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 			return
 		}
--- a/internal/traffic/chooser/chooser.go
+++ b/internal/traffic/chooser/chooser.go
@@ -59,6 +59,7 @@
 	// running and prompt are this daemon's own, theirs those of all others.
 	running, prompt int
 	theirs          sharer.Load
+	used            time.Time
 	health          health
 	cache           cache
 }
@@ -101,6 +102,8 @@
 	}
 	var best Choice
 	var bestCost time.Duration
+	// Of equals the one that was used longest ago is taken.
+	var used time.Time
 	found, slots, running, n := false, 0, 0, 0
 	keep := sampleOf(endpoints, q)
 	for _, e := range endpoints {
@@ -116,10 +119,10 @@
 		}
 		cand := candidate{Endpoint: e, state: s, remote: e.Domain != c.cfg.Domain, now: now}
 		cost, wait := policy.Cost(q, cand)
-		if found && cost >= bestCost {
+		if found && (cost > bestCost || cost == bestCost && !s.used.Before(used)) {
 			continue
 		}
-		found, bestCost = true, cost
+		found, bestCost, used = true, cost, s.used
 		best = Choice{
 			Endpoint: e, Wait: wait, Unread: q.Prompt - s.cache.tokens(q.Parts, now),
 			Running: s.running + s.theirs.Running, Queued: s.prompt + s.theirs.Prompt,
@@ -227,6 +230,7 @@
 	a := &Attempt{c: c, s: s, service: q.Service, started: c.cfg.Now(), ahead: s.prompt + s.theirs.Prompt, unread: max(ch.Unread, 0)}
 	s.running++
 	s.prompt += a.unread
+	s.used = a.started
 	if q.Prompt > 0 {
 		s.cache.add(q.Parts, a.started)
 	}
--- a/internal/traffic/chooser/chooser_test.go
+++ b/internal/traffic/chooser/chooser_test.go
@@ -134,6 +134,27 @@
 	}
 }
 
+// Few callers leave all endpoints idle: none gets all of their requests.
+func TestIdleEndpointsTakeTurns(t *testing.T) {
+	c, clk := newChooser()
+	counts := make(map[string]int)
+	list := endpoints(4)
+	for i := range list {
+		list[i].Domain = "z0"
+	}
+	for range 40 {
+		ch, _ := c.Pick(Query{Service: "s"}, list)
+		counts[ch.Endpoint.ID]++
+		c.Start(Query{Service: "s"}, ch).End(ResultGood)
+		clk.at = clk.at.Add(time.Millisecond)
+	}
+	for id, n := range counts {
+		if n != 10 {
+			t.Errorf("got %d of 40 requests at %s, want 10", n, id)
+		}
+	}
+}
+
 // A new start under the same id has nothing in flight and nothing cached.
 func TestRestartedEndpointBeginsAnew(t *testing.T) {
 	c, _ := newChooser()
