--- a/internal/daemon/verifier/config_faults_test.go
+++ b/internal/daemon/verifier/config_faults_test.go
@@ -112,6 +112,8 @@
 	generation := w.newest(t)
 	w.faults(keeper.Faults{Down: true})
 	w.daemons[5].signal(t, syscall.SIGKILL)
+	// The port is free once the process has ended.
+	w.daemons[5].wait(t)
 	w.start(5)
 	w.awaitInForce(forceLimit, generation, w.daemons[5])
 	w.faults(keeper.Faults{})
