Pass statuses through hubs in a large fleet

Ruled out: one connection a pair. It saves handshakes, but each datagram still wakes a peer and is acknowledged. Sums per failure domain: a hub that dies would leave two sums that overlap.

Now the daemons of a failure domain send to one hub of it, hubs exchange what they got, and each passes on what is new to those attached to it, in datagrams. Hubs are the largest hosts; with small hosts as hubs members heard nothing for over a second now and then (22 lines in 12 s, links of 10 Mbit/s). A silent hub is left after a second. Small fleets do as before.

The second cause, seen in the same logs: before callers came, orders of endpoints counted the endpoints of the orders before them (50 to 128 in 12 s).

The tests of large fleets were written with the change and not run on the old code; the planner's test failed first.

--- a/internal/config/loader/edge.go
+++ b/internal/config/loader/edge.go
@@ -12,6 +12,8 @@
 	Metrics string `yaml:"metrics,omitempty"`
 	// Domains are the failure domains in which endpoints may be ordered.
 	Domains []string `yaml:"domains"`
+	// Host says what this daemon's host can carry.
+	Host Host `yaml:"host,omitempty"`
 	// First says that the whole fleet starts for the first time.
 	First bool `yaml:"first"`
 	// Duties are the duties that the platform asks for.
@@ -30,6 +32,21 @@
 	Exposure Exposure `yaml:"exposure"`
 }
 
+// Host says what a daemon's host can carry.
+type Host struct {
+	// Cores is the daemon's part of the processor, in cores.
+	Cores float64 `yaml:"cores,omitempty"`
+	// Link is the bandwidth of the host, in Mbit/s.
+	Link float64 `yaml:"link,omitempty"`
+}
+
+// wideLink is the bandwidth in Mbit/s from which on the processor alone decides
+// what a daemon can carry.
+const wideLink = 100
+
+// Size is what the host can carry for other daemons, as a share of a core.
+func (h Host) Size() float64 { return h.Cores * min(h.Link/wideLink, 1) }
+
 // Usage says how usage is counted and reported.
 type Usage struct {
 	// Window is the span of one report.
--- a/internal/control/scaler/planner.go
+++ b/internal/control/scaler/planner.go
@@ -1,7 +1,6 @@
 package scaler
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -55,10 +54,10 @@
 }
 
 // plan returns the orders that bring the service to what it needs. At the start
-// that is as many as there are.
+// that is as many as there are without orders: none of them is reclaimable.
 func (p *planner) plan(svc registrar.Service, domains []string, present map[subject]int, short map[string]bool, l Load, now time.Time) []Order {
 	if p.asked.IsZero() {
-		p.need = max(p.need, total(present))
+		p.need = max(p.need, countStanding(present))
 		if l.Prompt > 0 || l.Running > 0 {
 			p.asked = now
 		}
@@ -140,11 +139,13 @@
 	return 1
 }
 
-// total sums up the counts of all subjects.
-func total(counts map[subject]int) int {
+// countStanding sums up the endpoints that are not reclaimable.
+func countStanding(counts map[subject]int) int {
 	n := 0
-	for v := range maps.Values(counts) {
-		n += v
+	for sub, v := range counts {
+		if !sub.spot {
+			n += v
+		}
 	}
 	return n
 }
--- a/internal/control/scaler/planner_test.go
+++ b/internal/control/scaler/planner_test.go
@@ -60,6 +60,22 @@
 	}
 }
 
+// Endpoints that came by an order do not make the next order larger.
+func TestOrdersBeforeCallersComeDoNotGrow(t *testing.T) {
+	var p planner
+	start := time.Unix(0, 0)
+	have := present()
+	for i := range 20 {
+		orders := p.plan(engines, domains, have, nil, Load{Pace: 60_000}, start.Add(time.Duration(i)*200*time.Millisecond))
+		for _, o := range orders {
+			have[subject{o.Service, o.Domain, o.Spot}] = o.Count
+		}
+		if p.need != 18 {
+			t.Fatalf("after %d rounds: got a need of %d endpoints, want the 18 that were there", i+1, p.need)
+		}
+	}
+}
+
 func TestLoadThatRises(t *testing.T) {
 	p := planner{}
 	start := time.Unix(0, 0)
--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -161,7 +161,8 @@
 	s, a := d.cfg.Settings, d.cfg.Adapter
 	d.tracker = tracker.New(tracker.Config{Changed: d.endpointsChanged, Logger: d.logger})
 	d.sharer = sharer.New(sharer.Config{
-		Name: s.Name, Domain: s.Domain, Address: s.Peers, Boot: d.boot, Fill: d.fill, Heard: d.heard, Logger: d.logger, Registry: d.registry,
+		Name: s.Name, Domain: s.Domain, Address: s.Peers, Boot: d.boot, Size: s.Edge.Host.Size(),
+		Fill: d.fill, Heard: d.heard, Lost: d.lost, Logger: d.logger, Registry: d.registry,
 	})
 	base := syncer.Config{Store: a.Store, Peers: d.sharer, Fresh: s.Edge.Watch.Std() + freshMargin, Logger: d.logger, Registry: d.registry}
 	operator, endpoints := base, base
--- a/internal/daemon/composer/knowledge.go
+++ b/internal/daemon/composer/knowledge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"slices"
 	"time"
@@ -116,10 +117,15 @@
 	d.gauge.Hear(current.Name, current.Boot, current.Demands)
 	d.roller.Hear(current.Name, current.Trials, current.Moves)
 	d.heardSpent(old, current)
-	d.operator.Wake()
-	d.endpoints.Wake()
+	if old == nil || !maps.Equal(old.Revisions, current.Revisions) {
+		d.operator.Wake()
+		d.endpoints.Wake()
+	}
 }
 
+// lost takes a daemon that is silent out of what is counted.
+func (d *Daemon) lost(name string) { d.chooser.SetPeer(name, nil) }
+
 // heardSpent takes from the allowances what another daemon let through since
 // its last status. What it let through before this daemon knew it does not
 // count.
@@ -174,11 +180,6 @@
 // runFast keeps what depends on other daemons up to date.
 func (d *Daemon) runFast(ctx context.Context) error {
 	return ticker.Every(ctx, fastPeriod, func(context.Context) {
-		for _, p := range d.sharer.Peers() {
-			if p.Silent {
-				d.chooser.SetPeer(p.Name, nil)
-			}
-		}
 		members, silent := d.count()
 		d.allowances.SetMembers(members, silent)
 		d.budget.SetMembers(members)
--- a/internal/fleet/sharer/members.go
+++ b/internal/fleet/sharer/members.go
@@ -27,21 +27,26 @@
 func (s *Sharer) Count() (members, silent int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.members, s.silent
+}
+
+// recount works out what Count returns.
+func (s *Sharer) recount() {
+	s.members, s.silent = 1, 0
 	known := make(map[string]bool, len(s.peers))
 	for _, p := range s.peers {
 		known[p.Address] = true
-		members++
+		s.members++
 		if p.Silent {
-			silent++
+			s.silent++
 		}
 	}
 	for a, c := range s.contacts {
 		if !known[a] && time.Since(c.since) < forgetTime {
-			members++
-			silent++
+			s.members++
+			s.silent++
 		}
 	}
-	return members + 1, silent
 }
 
 // Offset is what must be added to this daemon's time of day to get the median of
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -1,7 +1,11 @@
 // Package sharer lets every daemon know what all others have in flight, what
-// they let through of each allowance and how far they follow the store. Each
-// sends its status to each other a few times a second; sums make a lost status
-// harmless.
+// they let through of each allowance and how far they follow the store. Sums
+// make a lost status harmless.
+//
+// In a small fleet each daemon sends its status to each other. In a large one
+// some daemons of each failure domain are hubs: the others send their status to
+// one hub of their domain, hubs exchange what they got, and each passes on what
+// is new to the daemons that are attached to it.
 package sharer
 
 import (
@@ -26,11 +30,19 @@
 	// baseSize is the number of peers up to which basePeriod holds; beyond, the
 	// period grows with the fleet, so that the load of a daemon stays bounded.
 	baseSize = 12
-	// peersEvery and windowsEvery are how many statuses pass from one with the
-	// addresses of peers, or the windows of usage, to the next in a large fleet,
-	// so that most statuses fit a datagram.
-	peersEvery   = 8
-	windowsEvery = 2
+	// hubPeriod is the time between two bundles of a hub. It adds to the age of
+	// a status twice on its way through two hubs.
+	hubPeriod = 200 * time.Millisecond
+	// hubSilence is how long a daemon waits for the bundles of its hub before it
+	// turns to another.
+	hubSilence = 5 * hubPeriod
+	// shunTime is how long a hub that was silent is not turned to again.
+	shunTime = 5 * time.Second
+	// windowsEvery is how many statuses pass from one with windows of usage to
+	// the next in a large fleet, and latestWindows how many it then holds, so
+	// that most statuses fit a datagram.
+	windowsEvery  = 2
+	latestWindows = 2
 	// statusDelays is how many periods a status may be late.
 	statusDelays = 2
 	// silence is how many periods without a status make a peer silent.
@@ -43,7 +55,11 @@
 	// It doubles up to lastRetryPeriod where none ever did.
 	retryPeriod     = time.Second
 	lastRetryPeriod = 30 * time.Second
-	kind            = "status"
+	// retriesAtOnce is how many such addresses are tried at once, and
+	// hubRetriesAtOnce how many by a hub.
+	retriesAtOnce    = 4
+	hubRetriesAtOnce = 16
+	kind             = "statuses"
 )
 
 // Transport carries messages between daemons.
@@ -65,10 +81,14 @@
 type Config struct {
 	Name, Domain, Address string
 	Boot                  int64
+	// Size is what the host can carry beside others; hubs are the largest.
+	Size float64
 	// Fill completes the daemon's own status before it is sent.
 	Fill func(*Status)
 	// Heard is called with each status that came from another daemon.
-	Heard    func(old, current *Peer)
+	Heard func(old, current *Peer)
+	// Lost is called with the name of each daemon that turns silent.
+	Lost     func(name string)
 	Logger   log.Logger
 	Registry metrics.Registry
 }
@@ -83,6 +103,13 @@
 	Silent bool
 	// Ahead is by how much the peer's time of day was ahead of this daemon's.
 	Ahead time.Duration
+
+	// encoded is the status as it came, and arrival its place among all that
+	// came.
+	encoded cbor.RawMessage
+	arrival uint64
+	// direct says that other hubs get it from this daemon alone.
+	direct bool
 }
 
 // contact is an address at which there may be a daemon.
@@ -99,19 +126,25 @@
 	mu        sync.Mutex
 	transport Transport
 	number    uint64
+	sent      time.Time
 	peers     map[string]*Peer
 	contacts  map[string]*contact
-	revisions map[string]uint64
-	answered  map[string]time.Time
-	stopping  bool
-	soon      chan struct{}
+	overlay   overlay
+	// members and silent are what Count returns.
+	members, silent int
+	revisions       map[string]uint64
+	answered        map[string]time.Time
+	spent           map[string]spentAt
+	stopping        bool
+	soon            chan struct{}
 }
 
 // New returns a sharer that knows no peers.
 func New(cfg Config) *Sharer {
 	return &Sharer{
-		cfg: cfg, peers: make(map[string]*Peer), contacts: make(map[string]*contact),
-		revisions: make(map[string]uint64), answered: make(map[string]time.Time), soon: make(chan struct{}, 1),
+		cfg: cfg, peers: make(map[string]*Peer), contacts: make(map[string]*contact), overlay: newOverlay(), members: 1,
+		revisions: make(map[string]uint64), answered: make(map[string]time.Time), spent: make(map[string]spentAt),
+		soon: make(chan struct{}, 1),
 	}
 }
 
@@ -134,6 +167,7 @@
 	for _, a := range addresses {
 		if _, ok := s.contacts[a]; !ok && a != s.cfg.Address {
 			s.contacts[a] = &contact{since: time.Now(), pause: retryPeriod}
+			s.recount()
 		}
 	}
 }
@@ -141,25 +175,41 @@
 // Run sends statuses until ctx ends.
 func (s *Sharer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		t := time.NewTimer(s.Period())
+		t := time.NewTimer(s.pause())
+		hasty := false
 		select {
 		case <-ctx.Done():
 		case <-s.soon:
+			hasty = true
 		case <-t.C:
 		}
 		t.Stop()
-		s.tick(ctx)
+		s.tick(ctx, hasty)
 	}
 	return nil
 }
 
-// Period returns the time between two statuses.
+// Period returns the time between two statuses of one daemon.
 func (s *Sharer) Period() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.period()
+}
+
+func (s *Sharer) period() time.Duration {
 	return basePeriod * time.Duration(max(1, (len(s.peers)+baseSize-1)/baseSize))
 }
 
+// pause returns the time until there is something to do.
+func (s *Sharer) pause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.overlay.large {
+		return hubPeriod
+	}
+	return s.period()
+}
+
 // Hasten sends the next status at once.
 func (s *Sharer) Hasten() {
 	select {
@@ -176,147 +226,239 @@
 	s.Hasten()
 }
 
-func (s *Sharer) tick(ctx context.Context) {
+// tick sends what is due.
+func (s *Sharer) tick(ctx context.Context, hasty bool) {
 	s.age()
-	st := s.own()
+	now := time.Now()
+	s.mu.Lock()
+	s.recount()
+	s.arrange(now)
+	due := hasty || now.Sub(s.sent) >= s.period()-hubPeriod/2
+	s.mu.Unlock()
+	var own cbor.RawMessage
+	if due {
+		own = s.own(now)
+	}
+	for _, out := range s.outgoing(now, own) {
+		go s.send(ctx, out)
+	}
+}
+
+// own returns the daemon's own status, or nothing where it cannot be encoded.
+func (s *Sharer) own(now time.Time) cbor.RawMessage {
+	st := s.status(now)
 	s.cfg.Fill(&st)
 	s.mu.Lock()
-	if s.large() && st.Number%windowsEvery != 0 {
-		st.Windows = nil
+	if s.overlay.large {
+		s.trim(&st)
 	}
 	s.mu.Unlock()
 	b, err := cbor.Marshal(st)
 	if err != nil {
 		s.log("msg", "status not sent", "error", err)
-		return
-	}
-	for _, a := range s.targets() {
-		go s.send(ctx, a, b)
+		return nil
 	}
+	return b
 }
 
-func (s *Sharer) own() Status {
+func (s *Sharer) status(now time.Time) Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.number++
+	s.sent = now
 	st := Status{
-		Name: s.cfg.Name, Domain: s.cfg.Domain, Address: s.cfg.Address, Boot: s.cfg.Boot, Number: s.number,
-		Clock: time.Now().UnixMilli(), Revisions: maps.Clone(s.revisions), Ages: make(map[string]int64, len(s.answered)), Stopping: s.stopping,
+		Name: s.cfg.Name, Domain: s.cfg.Domain, Address: s.cfg.Address, Boot: s.cfg.Boot, Number: s.number, Size: s.cfg.Size,
+		Clock: now.UnixMilli(), Revisions: maps.Clone(s.revisions), Ages: make(map[string]int64, len(s.answered)), Stopping: s.stopping,
 	}
 	for part, at := range s.answered {
-		st.Ages[part] = time.Since(at).Milliseconds()
+		st.Ages[part] = now.Sub(at).Milliseconds()
+	}
+	if s.overlay.large {
+		// The statuses of peers that hubs pass on name their addresses.
+		return st
 	}
-	if !s.large() || s.number%peersEvery == 0 {
-		for _, p := range s.peers {
-			if !p.Silent {
-				st.Peers = append(st.Peers, p.Address)
-			}
+	for _, p := range s.peers {
+		if !p.Silent {
+			st.Peers = append(st.Peers, p.Address)
 		}
 	}
 	return st
 }
 
-// large reports whether the fleet is too large for every status to hold all.
-func (s *Sharer) large() bool { return len(s.peers) > baseSize }
+// spentAt is a sum as it was sent, with the number of the status in which it
+// first stood.
+type spentAt struct {
+	total float64
+	since uint64
+}
 
-// targets returns the addresses that are due for a status: those of peers that
-// are heard, and now and then all others.
-func (s *Sharer) targets() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.transport == nil {
-		return nil
+// spentRepeats is in how many statuses a changed sum is sent, so that losses do
+// not hide it; afterwards it is sent once in spentEvery statuses.
+const (
+	spentRepeats = 3
+	spentEvery   = 8
+)
+
+// trim leaves out of a status what the others know already.
+func (s *Sharer) trim(st *Status) {
+	if st.Number%windowsEvery != 0 {
+		st.Windows = nil
 	}
-	heard := make(map[string]bool)
-	for _, p := range s.peers {
-		if !p.Silent {
-			heard[p.Address] = true
-		}
-		if c := s.contacts[p.Address]; c != nil {
-			c.pause = retryPeriod
-		}
+	if n := len(st.Windows); n > latestWindows {
+		st.Windows = st.Windows[n-latestWindows:]
 	}
-	out := slices.Collect(maps.Keys(heard))
-	now := time.Now()
+	st.Spent = slices.DeleteFunc(st.Spent, func(sum Spent) bool {
+		last, ok := s.spent[sum.Organisation]
+		if !ok || last.total != sum.Total {
+			last = spentAt{sum.Total, st.Number}
+			s.spent[sum.Organisation] = last
+		}
+		return st.Number-last.since >= spentRepeats && st.Number%spentEvery != 0
+	})
+}
+
+// retries returns the addresses that are not heard and that are due for another
+// try.
+func (s *Sharer) retries(now time.Time, heard map[string]bool) []string {
+	var due []string
 	for a, c := range s.contacts {
 		if !heard[a] && now.Sub(c.tried) >= c.pause {
-			c.tried, c.pause = now, min(2*c.pause, lastRetryPeriod)
-			out = append(out, a)
+			due = append(due, a)
 		}
 	}
-	return out
+	slices.SortFunc(due, func(a, b string) int { return s.contacts[a].tried.Compare(s.contacts[b].tried) })
+	most := retriesAtOnce
+	if s.overlay.isHub {
+		most = hubRetriesAtOnce
+	}
+	if len(due) > most {
+		due = due[:most]
+	}
+	for _, a := range due {
+		c := s.contacts[a]
+		c.tried, c.pause = now, min(2*c.pause, lastRetryPeriod)
+	}
+	return due
 }
 
-func (s *Sharer) send(ctx context.Context, addr string, b []byte) {
+func (s *Sharer) send(ctx context.Context, out outgoing) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	var err error
-	if len(b) <= messenger.MaxDatagramBytes {
-		err = s.transport.Send(ctx, addr, kind, b)
-	} else {
-		_, err = s.transport.Call(ctx, addr, kind, b)
-	}
-	if err != nil {
-		meter.Count(s.cfg.Registry, 1, "status_send_failures_total")
+	for _, b := range out.bodies {
+		var err error
+		if len(b) <= messenger.MaxDatagramBytes {
+			err = s.transport.Send(ctx, out.address, kind, b)
+		} else {
+			_, err = s.transport.Call(ctx, out.address, kind, b)
+		}
+		if err != nil {
+			meter.Count(s.cfg.Registry, 1, "status_send_failures_total")
+			return
+		}
 	}
 }
 
+// receive takes in a bundle of statuses.
 func (s *Sharer) receive(body []byte) {
-	var st Status
-	if err := cbor.Unmarshal(body, &st); err != nil {
-		s.log("msg", "status not readable", "error", err)
+	var b bundle
+	if err := cbor.Unmarshal(body, &b); err != nil {
+		s.log("msg", "statuses not readable", "error", err)
 		return
 	}
-	if st.Name == s.cfg.Name {
+	now := time.Now()
+	if b.From == s.cfg.Name {
 		return
 	}
-	s.Contact(append(st.Peers, st.Address)...)
 	s.mu.Lock()
-	old := s.peers[st.Name]
-	if old != nil && (st.Boot < old.Boot || st.Boot == old.Boot && st.Number <= old.Number) {
+	s.overlay.heard(b, now)
+	s.mu.Unlock()
+	for _, p := range b.Parcels {
+		var st Status
+		if err := cbor.Unmarshal(p.Status, &st); err != nil {
+			s.log("msg", "status not readable", "from", b.From, "error", err)
+			continue
+		}
+		s.take(b, Peer{Status: st, Heard: now.Add(-time.Duration(p.Age) * time.Millisecond), encoded: p.Status})
+	}
+}
+
+// take takes in the status of another daemon, which came with a bundle.
+func (s *Sharer) take(b bundle, p Peer) {
+	if p.Name == s.cfg.Name {
+		return
+	}
+	s.Contact(append(p.Peers, p.Address)...)
+	s.mu.Lock()
+	old := s.peers[p.Name]
+	if old != nil && (p.Boot < old.Boot || p.Boot == old.Boot && p.Number <= old.Number) {
 		s.mu.Unlock()
 		return
 	}
-	now := time.Now()
-	if old != nil && old.Boot == st.Boot && st.Windows == nil {
-		st.Windows = old.Windows
+	if old != nil && old.Boot == p.Boot {
+		p.keep(old)
 	}
-	p := &Peer{Status: st, Heard: now, Ahead: time.Duration(st.Clock-now.UnixMilli()) * time.Millisecond}
-	s.peers[st.Name] = p
-	if s.transport != nil && (old == nil || old.Boot != st.Boot) {
+	p.Ahead = time.Duration(p.Clock-p.Heard.UnixMilli()) * time.Millisecond
+	p.direct = s.overlay.isDirect(b, p.Status)
+	s.overlay.arrivals++
+	p.arrival = s.overlay.arrivals
+	s.peers[p.Name] = &p
+	if s.transport != nil && (old == nil || old.Boot != p.Boot) {
 		// A connection made earlier led to a former process.
-		s.transport.Forget(st.Address)
+		s.transport.Forget(p.Address)
 	}
 	s.mu.Unlock()
-	if old == nil || old.Boot != st.Boot || old.Silent {
-		s.log("msg", "peer heard", "peer", st.Name, "address", st.Address, "domain", st.Domain, "boot", st.Boot)
+	if old == nil || old.Boot != p.Boot || old.Silent {
+		s.log("msg", "peer heard", "peer", p.Name, "address", p.Address, "domain", p.Domain, "boot", p.Boot)
+	}
+	s.cfg.Heard(old, &p)
+}
+
+// keep fills in what the peer's former status held and this one leaves out.
+func (p *Peer) keep(old *Peer) {
+	if p.Windows == nil {
+		p.Windows = old.Windows
+	}
+	for _, sum := range old.Spent {
+		if !slices.ContainsFunc(p.Spent, func(n Spent) bool { return n.Organisation == sum.Organisation }) {
+			p.Spent = append(p.Spent, sum)
+		}
 	}
-	s.cfg.Heard(old, p)
 }
 
 // age marks peers as silent and forgets those that stay so.
 func (s *Sharer) age() {
-	limit := silence * s.Period()
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	limit := silence * s.period()
 	now := time.Now()
+	var lost []string
 	for name, p := range s.peers {
 		quiet := now.Sub(p.Heard)
 		if !p.Silent && quiet > limit {
 			c := *p
 			c.Silent = true
 			s.peers[name] = &c
+			lost = append(lost, name)
 			s.log("msg", "peer lost", "peer", name, "address", p.Address, "quiet", quiet)
 		}
 		if quiet > forgetTime || p.Stopping && quiet > limit {
-			delete(s.peers, name)
-			delete(s.contacts, p.Address)
-			if s.transport != nil {
-				s.transport.Forget(p.Address)
-			}
-			s.log("msg", "peer forgotten", "peer", name, "quiet", quiet, "stopping", p.Stopping)
+			s.forget(p, quiet)
 		}
 	}
+	s.mu.Unlock()
+	for _, name := range lost {
+		s.cfg.Lost(name)
+	}
+}
+
+func (s *Sharer) forget(p *Peer, quiet time.Duration) {
+	delete(s.peers, p.Name)
+	delete(s.overlay.bundles, p.Name)
+	delete(s.overlay.shunned, p.Name)
+	delete(s.contacts, p.Address)
+	if s.transport != nil {
+		s.transport.Forget(p.Address)
+	}
+	s.log("msg", "peer forgotten", "peer", p.Name, "quiet", quiet, "stopping", p.Stopping)
 }
 
 // Revised implements syncer.Peers.
--- a/internal/fleet/sharer/sharer_test.go
+++ b/internal/fleet/sharer/sharer_test.go
@@ -22,6 +22,10 @@
 	mu    sync.Mutex
 	ports map[string]*port
 	cut   func(from, to string) bool
+	// fill completes the status of each daemon.
+	fill func(*Status)
+	// sent counts messages by sender.
+	sent map[string]int
 }
 
 // port is one daemon's process on the fabric.
@@ -35,7 +39,7 @@
 var errCut = errors.New("no link")
 
 func newFabric() *fabric {
-	return &fabric{ports: make(map[string]*port), cut: func(string, string) bool { return false }}
+	return &fabric{ports: make(map[string]*port), sent: make(map[string]int), fill: func(*Status) {}, cut: func(string, string) bool { return false }}
 }
 
 func (f *fabric) port(addr string) *port {
@@ -53,6 +57,7 @@
 		to = p.f.ports[addr]
 		p.links[addr] = to
 	}
+	p.f.sent[p.addr]++
 	dead := to == nil || p.f.ports[addr] != to || p.f.ports[p.addr] != p || p.f.cut(p.addr, addr)
 	p.f.mu.Unlock()
 	if dead {
@@ -80,8 +85,8 @@
 func (f *fabric) start(ctx context.Context, n int, boot int64, contacts ...string) *Sharer {
 	addr := fmt.Sprint("a", n)
 	s := New(Config{
-		Name: fmt.Sprint("d", n), Domain: fmt.Sprint("z", n%3), Address: addr, Boot: boot, Fill: func(*Status) {},
-		Heard: func(_, _ *Peer) {}, Logger: log.NewNopLogger(), Registry: metrics.NewRegistry(),
+		Name: fmt.Sprint("d", n), Domain: fmt.Sprint("z", n%3), Address: addr, Boot: boot, Fill: f.fill,
+		Heard: func(_, _ *Peer) {}, Lost: func(string) {}, Logger: log.NewNopLogger(), Registry: metrics.NewRegistry(),
 	})
 	s.Contact(contacts...)
 	s.Attach(f.port(addr))
--- a/internal/fleet/sharer/status.go
+++ b/internal/fleet/sharer/status.go
@@ -20,7 +20,10 @@
 	Windows []Window         `cbor:"9,keyasint,omitempty"`
 	Demands []Demand         `cbor:"10,keyasint,omitempty"`
 	Trials  []Trial          `cbor:"11,keyasint,omitempty"`
-	// Peers are the addresses of the daemons that this one hears.
+	// Size is what the daemon's host can carry beside others.
+	Size float64 `cbor:"17,keyasint,omitempty"`
+	// Peers are the addresses of the daemons that this one hears; a large fleet
+	// does without.
 	Peers []string `cbor:"12,keyasint,omitempty"`
 	// Stopping daemons take no duties and end soon.
 	Stopping bool `cbor:"13,keyasint,omitempty"`
