Pass a duty by a daemon that the store does not answer

Daemons now tell each other whether the store answers them. Those that it does not answer are passed over by the duty and by the following of the store, unless it answers none; they ask again twice a second.

A new holder no longer logs windows as missed that were reported before it, or in which nothing ran. Daemons wait a second for others before they try for a duty. The address that others use may differ from the one listened on.

--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"slices"
@@ -43,6 +44,9 @@
 	Edge *Edge `yaml:"edge,omitempty"`
 }
 
+// PeersAddress returns the address at which other daemons reach this one.
+func (s Settings) PeersAddress() string { return cmp.Or(s.Advertise, s.Peers) }
+
 // TLS names files in PEM form.
 type TLS struct {
 	Cert string `yaml:"cert"`
--- a/internal/control/accounter/accounter.go
+++ b/internal/control/accounter/accounter.go
@@ -83,7 +83,7 @@
 			continue
 		}
 		if now.Sub(c.End(w)) > a.cfg.Late {
-			a.log("msg", "usage window missed", "window", w, "late", now.Sub(c.End(w)))
+			a.miss(ctx, w, now.Sub(c.End(w)))
 			a.done(w)
 			continue
 		}
@@ -101,6 +101,19 @@
 	}
 }
 
+// miss gives up a window that is too late to be reported, unless an earlier
+// holder of the duty fixed its report.
+func (a *Accounter) miss(ctx context.Context, w int64, late time.Duration) {
+	if len(a.cfg.Counter.Counts(w)) == 0 {
+		return
+	}
+	_, err := a.cfg.Store.Get(ctx, key(w))
+	if err == nil {
+		return
+	}
+	a.log("msg", "usage window missed", "window", w, "late", late, "error", err)
+}
+
 // done notes that a window needs no more work. Windows are done in order, or
 // are older than any that would still be sent.
 func (a *Accounter) done(w int64) {
--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -93,6 +93,7 @@
 
 	callers, ready, operators, metrics net.Listener
 
+	reach      *storer.Reach
 	catalog    atomic.Pointer[registrar.Catalog]
 	tracker    *tracker.Tracker
 	chooser    *chooser.Chooser
@@ -123,7 +124,9 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{cfg: cfg, logger: l, lines: lines, registry: metrics.NewRegistry(), boot: time.Now().UnixNano()}
+	reach := storer.NewReach(cfg.Adapter.Store)
+	cfg.Adapter.Store = reach
+	d := &Daemon{cfg: cfg, reach: reach, logger: l, lines: lines, registry: metrics.NewRegistry(), boot: time.Now().UnixNano()}
 	d.current.Store(&s)
 	if err := d.listen(ctx); err != nil {
 		return nil, err
@@ -161,7 +164,7 @@
 	s, a := d.cfg.Settings, d.cfg.Adapter
 	d.tracker = tracker.New(tracker.Config{Changed: d.endpointsChanged, Logger: d.logger})
 	d.sharer = sharer.New(sharer.Config{
-		Name: s.Name, Domain: s.Domain, Address: s.Peers, Boot: d.boot, Size: s.Edge.Host.Size(),
+		Name: s.Name, Domain: s.Domain, Address: s.PeersAddress(), Boot: d.boot, Size: s.Edge.Host.Size(),
 		Fill: d.fill, Heard: d.heard, Lost: d.lost, Logger: d.logger, Registry: d.registry,
 	})
 	base := syncer.Config{Store: a.Store, Peers: d.sharer, Fresh: s.Edge.Watch.Std() + freshMargin, Logger: d.logger, Registry: d.registry}
@@ -227,8 +230,8 @@
 	d.log("msg", "started", "domain", d.cfg.Settings.Domain, "callers", d.cfg.Settings.Callers, "boot", d.boot)
 	var g errgroup.Group
 	for _, f := range []func(context.Context) error{
-		d.operator.Run, d.operator.RunPull, d.endpoints.Run, d.endpoints.RunPull, d.sharer.Run, d.runPeers, d.keeper.Run,
-		d.runSlow, d.runFast, d.runReload, d.runDuties, d.serveReady, d.serveOperators, d.serveMetrics, d.serveCallers,
+		d.operator.Run, d.operator.RunPull, d.endpoints.Run, d.endpoints.RunPull, d.sharer.Run, d.runPeers, d.runKeeper,
+		d.runSlow, d.runFast, d.runReach, d.runReload, d.runDuties, d.serveReady, d.serveOperators, d.serveMetrics, d.serveCallers,
 	} {
 		g.Go(func() error {
 			err := f(ctx)
--- a/internal/daemon/composer/knowledge.go
+++ b/internal/daemon/composer/knowledge.go
@@ -25,7 +25,14 @@
 	joinDelay    = 200 * time.Millisecond
 	slowPeriod   = 500 * time.Millisecond
 	fastPeriod   = 50 * time.Millisecond
-	dutyPeriod   = 200 * time.Millisecond
+	// reachPeriod is the time between two looks at whether the store answers,
+	// and reachKey what is asked for while it does not.
+	reachPeriod = 500 * time.Millisecond
+	reachKey    = memberPrefix + "none"
+	dutyPeriod  = 200 * time.Millisecond
+	// dutyDelay is how long a daemon waits at its start to hear of others that
+	// a duty falls to.
+	dutyDelay = time.Second
 )
 
 // applyOperator brings what the operator wrote into force.
@@ -186,6 +193,18 @@
 	})
 }
 
+// runReach tells the others whether the store answers this daemon, and asks it
+// again while it does not.
+func (d *Daemon) runReach(ctx context.Context) error {
+	return ticker.Every(ctx, reachPeriod, func(ctx context.Context) {
+		if d.reach.Away() {
+			// The outcome counts, not the entry.
+			_, _ = d.reach.Get(ctx, reachKey)
+		}
+		d.sharer.SetAway(d.reach.Away())
+	})
+}
+
 // runSlow does what is not urgent.
 func (d *Daemon) runSlow(ctx context.Context) error {
 	return ticker.Every(ctx, slowPeriod, func(context.Context) {
@@ -212,6 +231,14 @@
 	return g.Wait()
 }
 
+// runKeeper keeps the duties that fall to this daemon.
+func (d *Daemon) runKeeper(ctx context.Context) error {
+	if !ticker.Pause(ctx, dutyDelay) {
+		return nil
+	}
+	return d.keeper.Run(ctx)
+}
+
 // runPeers gets key material, joins the other daemons and serves them.
 func (d *Daemon) runPeers(ctx context.Context) error {
 	var id messenger.Identity
@@ -280,7 +307,7 @@
 	if err != nil {
 		return err
 	}
-	key := memberPrefix + d.cfg.Settings.Name
+	key, self := memberPrefix+d.cfg.Settings.Name, d.cfg.Settings.PeersAddress()
 	var expect uint64
 	for _, e := range p.Entries {
 		var addr string
@@ -290,14 +317,14 @@
 		}
 		if e.Key == key {
 			expect = e.Revision
-			if addr == d.cfg.Settings.Peers {
+			if addr == self {
 				return nil
 			}
 			continue
 		}
 		d.sharer.Contact(addr)
 	}
-	b, err := json.Marshal(d.cfg.Settings.Peers)
+	b, err := json.Marshal(self)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/sharer/members.go
+++ b/internal/fleet/sharer/members.go
@@ -65,23 +65,28 @@
 }
 
 // Members returns this daemon and the others in the form that duties are dealt
-// out by.
+// out by. Those that the store does not answer are passed over while it answers
+// any.
 func (s *Sharer) Members() []viewer.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := func(silent, stopping bool) viewer.State {
+	reached := !s.away
+	for _, p := range s.peers {
+		reached = reached || !p.Away && !p.Silent && !p.Stopping
+	}
+	state := func(silent, stopping, away bool) viewer.State {
 		switch {
 		case stopping:
 			return viewer.StateLeaving
-		case silent:
+		case silent, away && reached:
 			return viewer.StateSuspected
 		}
 		return viewer.StateAlive
 	}
-	out := []viewer.Member{{Name: s.cfg.Name, Domain: s.cfg.Domain, Peers: s.cfg.Address, State: state(false, s.stopping)}}
+	out := []viewer.Member{{Name: s.cfg.Name, Domain: s.cfg.Domain, Peers: s.cfg.Address, State: state(false, s.stopping, s.away)}}
 	for _, name := range slices.Sorted(maps.Keys(s.peers)) {
 		p := s.peers[name]
-		out = append(out, viewer.Member{Name: name, Domain: p.Domain, Peers: p.Address, State: state(p.Silent, p.Stopping)})
+		out = append(out, viewer.Member{Name: name, Domain: p.Domain, Peers: p.Address, State: state(p.Silent, p.Stopping, p.Away)})
 	}
 	return out
 }
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -136,6 +136,7 @@
 	answered        map[string]time.Time
 	spent           map[string]spentAt
 	stopping        bool
+	away            bool
 	soon            chan struct{}
 }
 
@@ -226,6 +227,19 @@
 	s.Hasten()
 }
 
+// SetAway says whether the store leaves this daemon without answers. The others
+// then take what falls to it.
+func (s *Sharer) SetAway(away bool) {
+	s.mu.Lock()
+	changed := s.away != away
+	s.away = away
+	s.mu.Unlock()
+	if changed {
+		s.log("msg", "store reach changed", "away", away)
+		s.Hasten()
+	}
+}
+
 // tick sends what is due.
 func (s *Sharer) tick(ctx context.Context, hasty bool) {
 	s.age()
@@ -268,7 +282,7 @@
 	s.sent = now
 	st := Status{
 		Name: s.cfg.Name, Domain: s.cfg.Domain, Address: s.cfg.Address, Boot: s.cfg.Boot, Number: s.number, Size: s.cfg.Size,
-		Clock: now.UnixMilli(), Revisions: maps.Clone(s.revisions), Ages: make(map[string]int64, len(s.answered)), Stopping: s.stopping,
+		Clock: now.UnixMilli(), Revisions: maps.Clone(s.revisions), Ages: make(map[string]int64, len(s.answered)), Stopping: s.stopping, Away: s.away,
 	}
 	for part, at := range s.answered {
 		st.Ages[part] = now.Sub(at).Milliseconds()
--- a/internal/fleet/sharer/sharer_test.go
+++ b/internal/fleet/sharer/sharer_test.go
@@ -200,6 +200,33 @@
 	})
 }
 
+// A daemon that the store does not answer is passed over by duties, unless it
+// answers none.
+func TestDaemonWithoutStoreIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		all := startAll(ctx, newFabric(), 3)
+		for away, want := range []int{3, 2, 1, 3} {
+			if away > 0 {
+				all[away-1].SetAway(true)
+			}
+			time.Sleep(time.Second)
+			for i, s := range all {
+				got := 0
+				for _, m := range s.Members() {
+					if m.State == viewer.StateAlive {
+						got++
+					}
+				}
+				if got != want {
+					t.Errorf("%d daemons without the store: daemon %d sees %d that take duties, want %d", away, i, got, want)
+				}
+			}
+		}
+	})
+}
+
 // One daemon of each failure domain follows the store; the others do so only
 // while nobody is answered.
 func TestFewFollowTheStore(t *testing.T) {
--- a/internal/fleet/sharer/status.go
+++ b/internal/fleet/sharer/status.go
@@ -27,6 +27,8 @@
 	Peers []string `cbor:"12,keyasint,omitempty"`
 	// Stopping daemons take no duties and end soon.
 	Stopping bool `cbor:"13,keyasint,omitempty"`
+	// Away says that the store does not answer the daemon.
+	Away bool `cbor:"18,keyasint,omitempty"`
 	// Clock is the sender's time of day, in milliseconds since 1970.
 	Clock int64 `cbor:"16,keyasint,omitempty"`
 	// Moves are the moves between releases as this daemon sees them.
