Contact all members also where a daemon finds itself among them

Cause: a daemon that starts again at its former address returned from reading the members of the fleet at its own entry, and never contacted those after it. The others had forgotten it after a planned stop.

Ruled out: lost key material, failing handshakes (nothing was sent at all). TestRestartedDaemonHearsOthers failed before (not within 20 s). Sending that begins to fail towards a peer is logged now, as is its return.

--- a/internal/daemon/composer/knowledge.go
+++ b/internal/daemon/composer/knowledge.go
@@ -309,6 +309,7 @@
 	}
 	key, self := memberPrefix+d.cfg.Settings.Name, d.cfg.Settings.PeersAddress()
 	var expect uint64
+	registered := false
 	for _, e := range p.Entries {
 		var addr string
 		if err := json.Unmarshal(e.Value, &addr); err != nil {
@@ -316,14 +317,14 @@
 			continue
 		}
 		if e.Key == key {
-			expect = e.Revision
-			if addr == self {
-				return nil
-			}
+			expect, registered = e.Revision, addr == self
 			continue
 		}
 		d.sharer.Contact(addr)
 	}
+	if registered {
+		return nil
+	}
 	b, err := json.Marshal(self)
 	if err != nil {
 		return err
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -117,6 +117,8 @@
 	since time.Time
 	tried time.Time
 	pause time.Duration
+	// failing says that the latest status could not be sent.
+	failing bool
 }
 
 // Sharer spreads the daemon's status and keeps those of others.
@@ -365,13 +367,30 @@
 		} else {
 			_, err = s.transport.Call(ctx, out.address, kind, b)
 		}
+		s.noteSend(out.address, err)
 		if err != nil {
-			meter.Count(s.cfg.Registry, 1, "status_send_failures_total")
 			return
 		}
 	}
 }
 
+// noteSend counts a failed send, and logs the first of several in a row.
+func (s *Sharer) noteSend(addr string, err error) {
+	s.mu.Lock()
+	c := s.contacts[addr]
+	changed := c != nil && c.failing != (err != nil)
+	if changed {
+		c.failing = err != nil
+	}
+	s.mu.Unlock()
+	if err != nil {
+		meter.Count(s.cfg.Registry, 1, "status_send_failures_total")
+	}
+	if changed {
+		s.log("msg", "sending to peer", "address", addr, "fails", err != nil, "error", err)
+	}
+}
+
 // receive takes in a bundle of statuses.
 func (s *Sharer) receive(body []byte) {
 	var b bundle
