Answer once more on open connections while a daemon stops

They are closed once requests are refused; until then each gets one more answer that says it is the last.

A request that is refused while the daemon starts or stops is logged with its id, and without the bound that it does not have.

--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -277,7 +277,6 @@
 	began := time.Now()
 	d.stopping.Store(true)
 	d.carrier.Stop()
-	d.server.closeIdle()
 	d.sharer.Stop()
 	d.log("msg", "stopping", "in_flight", d.carrier.InFlight())
 	last := d.settings().Edge.Grace.Std() - exitMargin
@@ -285,6 +284,7 @@
 		refuse, end := stopStep(time.Since(began), last, d.carrier.InFlight())
 		if refuse {
 			d.carrier.Close()
+			d.server.closeIdle()
 		}
 		if end {
 			break
--- a/internal/daemon/composer/server.go
+++ b/internal/daemon/composer/server.go
@@ -77,8 +77,9 @@
 	}
 }
 
-// closeIdle ends the connections that carry no request, so that no caller uses
-// one of them for a request that comes too late.
+// closeIdle ends the connections that carry no request, once requests are
+// refused. Until then each gets one more answer, which says that it is the last,
+// so that few callers send a request while their connection is being closed.
 func (s *server) closeIdle() { s.http.SetKeepAlivesEnabled(false) }
 
 // close ends the listener and the idle connections, and waits a little for
--- a/internal/traffic/carrier/account.go
+++ b/internal/traffic/carrier/account.go
@@ -27,9 +27,12 @@
 	c.observe("request_seconds", q.route.Name, took)
 	fields := []any{
 		"msg", "request", "id", q.ID, "outcome", outcome, "status", q.status, "run", q.state, "took", took, "route", q.route.Name,
-		"organisation", q.org.Name, "service", q.service.Name, "attempts", q.attempts, "cost", q.cost, "bound", q.end.Sub(q.start),
+		"organisation", q.org.Name, "service", q.service.Name, "attempts", q.attempts, "cost", q.cost,
 		"config", q.catalog, "endpoints", q.list, "events", q.events.n,
 	}
+	if !q.end.IsZero() {
+		fields = append(fields, "bound", q.end.Sub(q.start))
+	}
 	if err != nil {
 		fields = append(fields, "error", err)
 		logger.Warn(c.cfg.Logger, fields...)
--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -152,6 +152,8 @@
 
 // admit reads a request and checks it against the configuration in force.
 func (c *Carrier) admit(q *request, r *http.Request) error {
+	call, err := c.cfg.Codec.Decode(r)
+	q.Call = call
 	if c.closed.Load() {
 		return &refuser.Refusal{Status: http.StatusServiceUnavailable, Title: "stopping", Detail: "the daemon stops", RetryAfter: minRetryAfter}
 	}
@@ -160,8 +162,6 @@
 		return &refuser.Refusal{Status: http.StatusServiceUnavailable, Title: "starting", Detail: "no configuration is known yet", RetryAfter: startDelay}
 	}
 	q.catalog = cat.Version
-	call, err := c.cfg.Codec.Decode(r)
-	q.Call = call
 	if err != nil {
 		return &refuser.Refusal{Status: http.StatusBadRequest, Title: "malformed", Detail: err.Error()}
 	}
