Trace requests and attempts of entry daemons

Each request has a span, and each attempt one below it, in the caller's trace; endpoints learn the attempt's context. The settings' trace part applies. A trace header only passed through before.

--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -27,6 +27,7 @@
 	"pomelotiller/internal/fleet/syncer"
 	"pomelotiller/internal/fleet/tracker"
 	"pomelotiller/internal/observe/logger"
+	"pomelotiller/internal/observe/tracer"
 	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/traffic/carrier"
 	"pomelotiller/internal/traffic/chooser"
@@ -89,7 +90,10 @@
 	logger   log.Logger
 	lines    *logger.Queue
 	registry metrics.Registry
-	boot     int64
+	tracer   tracer.Tracer
+	// flush sends the last spans.
+	flush func(context.Context) error
+	boot  int64
 
 	callers, ready, operators, metrics net.Listener
 
@@ -126,7 +130,11 @@
 	}
 	reach := storer.NewReach(cfg.Adapter.Store)
 	cfg.Adapter.Store = reach
-	d := &Daemon{cfg: cfg, reach: reach, logger: l, lines: lines, registry: metrics.NewRegistry(), boot: time.Now().UnixNano()}
+	tr, flush, err := tracer.New(ctx, tracer.Config{Export: s.Trace.Export, Address: s.Trace.Address, Writer: cfg.Out, Process: s.Name})
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{cfg: cfg, reach: reach, tracer: tr, flush: flush, logger: l, lines: lines, registry: metrics.NewRegistry(), boot: time.Now().UnixNano()}
 	d.current.Store(&s)
 	if err := d.listen(ctx); err != nil {
 		return nil, err
@@ -190,7 +198,7 @@
 	d.carrier = carrier.New(carrier.Config{
 		Codec: d.cfg.Adapter.Wire, Catalog: d.catalog.Load, Endpoints: d.tracker.Load, Leave: d.tracker.Leave,
 		Chooser: d.chooser, Pool: d.pool, Allowances: d.allowances, Budget: d.budget, Usage: usage{d}, Demand: d.gauge, Trials: d.roller,
-		Members: d.memberCount, Logger: d.logger, Registry: d.registry,
+		Members: d.memberCount, Tracer: d.tracer, Logger: d.logger, Registry: d.registry,
 	})
 	d.server = newServer(d.carrier, d.catalog.Load, d.logger)
 }
@@ -251,12 +259,19 @@
 		return nil
 	})
 	err := g.Wait()
-	d.log("msg", "stopped", "error", err)
+	d.log("msg", "stopped", "error", err, "spans_error", d.flushSpans(ctx))
 	d.lines.Flush(flushTime)
 	return err
 }
 
-// flushTime bounds how long the last lines may take.
+// flushSpans sends the last spans within flushTime.
+func (d *Daemon) flushSpans(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTime)
+	defer cancel()
+	return d.flush(ctx)
+}
+
+// flushTime bounds how long the last lines, and the last spans, may take.
 const flushTime = 200 * time.Millisecond
 
 const (
--- a/internal/traffic/carrier/attempt.go
+++ b/internal/traffic/carrier/attempt.go
@@ -11,6 +11,10 @@
 	"strconv"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
 	"pomelotiller/internal/config/registrar"
 	"pomelotiller/internal/traffic/chooser"
 	"pomelotiller/internal/traffic/dialer"
@@ -43,6 +47,7 @@
 	track   *chooser.Attempt
 	written chan error
 	cancel  context.CancelFunc
+	span    trace.Span
 	sent    time.Time
 	first   time.Time
 	ended   bool
@@ -50,19 +55,22 @@
 
 // attempt sends a request to one endpoint and reads the head of its answer.
 func (c *Carrier) attempt(ctx context.Context, q *request, ch chooser.Choice) (*answer, error) {
-	actx, cancel := context.WithCancel(ctx)
+	spanCtx, span := c.cfg.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
+		attribute.Int("n", q.attempts), attribute.String("endpoint", ch.Endpoint.ID)))
+	actx, cancel := context.WithCancel(spanCtx)
 	if p := q.patience(ch); p > 0 {
 		// The timer is stopped once the answer begins.
 		t := time.AfterFunc(p, cancel)
 		defer t.Stop()
 	}
-	a := &answer{c: c, ctx: actx, cancel: cancel, choice: ch, sent: time.Now()}
+	a := &answer{c: c, ctx: actx, cancel: cancel, span: span, choice: ch, sent: time.Now()}
 	a.track = c.cfg.Chooser.Start(q.query, ch)
 	err := a.open(q)
 	if err == nil {
 		err = a.exchange(q)
 	}
 	if err != nil {
+		span.RecordError(err)
 		a.end(resultOf(ctx, err), false)
 		c.logAttempt(q, a, err)
 		return nil, err
@@ -127,6 +135,7 @@
 func (a *answer) head(q *request) []byte {
 	g := Grant{Left: time.Until(q.end), Organisation: q.org.Name, Instance: a.choice.Endpoint.ID, LastEvent: q.events.last}
 	h := a.c.cfg.Codec.Encode(q.Call, g)
+	a.c.cfg.Tracer.Propagation.Inject(a.ctx, propagation.HeaderCarrier(h))
 	b := bytes.NewBuffer(make([]byte, 0, 1024+len(q.body)))
 	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", q.method, q.target, q.host)
 	for _, name := range sortedNames(h) {
@@ -227,6 +236,7 @@
 		return
 	}
 	a.ended = true
+	a.span.End()
 	a.track.End(r)
 	alive := a.ctx.Err() == nil
 	a.cancel()
--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -15,8 +15,13 @@
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
 	"pomelotiller/internal/config/registrar"
 	"pomelotiller/internal/fleet/tracker"
+	"pomelotiller/internal/observe/tracer"
 	"pomelotiller/internal/traffic/chooser"
 	"pomelotiller/internal/traffic/dialer"
 	"pomelotiller/internal/traffic/limiter"
@@ -60,7 +65,9 @@
 	Trials     Trials
 	// Members returns the number of daemons that share the connections of
 	// endpoints.
-	Members  func() int
+	Members func() int
+	// Tracer starts a span for each request and each attempt.
+	Tracer   tracer.Tracer
 	Logger   log.Logger
 	Registry metrics.Registry
 }
@@ -119,16 +126,28 @@
 	if c.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	ctx := c.cfg.Tracer.Propagation.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := c.cfg.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
 	q := &request{w: w, start: time.Now(), method: r.Method, target: r.RequestURI, host: r.Host}
 	err := c.admit(q, r)
 	if err == nil {
-		ctx, cancel := context.WithDeadline(r.Context(), q.end)
-		defer cancel()
-		err = c.serve(ctx, q)
+		err = c.serveUntil(ctx, q)
+	}
+	if err != nil {
+		span.RecordError(err)
 	}
+	span.SetAttributes(attribute.String("id", q.ID), attribute.String("route", q.route.Name), attribute.Int("attempts", q.attempts))
 	c.finish(r.Context(), q, err)
 }
 
+// serveUntil serves an admitted request until its time is up.
+func (c *Carrier) serveUntil(ctx context.Context, q *request) error {
+	ctx, cancel := context.WithDeadline(ctx, q.end)
+	defer cancel()
+	return c.serve(ctx, q)
+}
+
 // errAborted ends a connection whose answer cannot be completed.
 var errAborted = errors.New("answer cannot be completed")
 
