Add a fault soak of daemon processes

Daemons run as processes before stand-ins of the platform and of endpoints. Faults chosen by a seed come from outside and overlap: kills, planned stops (some of them killed at the end), pauses, reloads, links to the store, to peers and to endpoints (cut, silent, slow, lossy, reset, truncated), the store itself, faults of single answers, endpoints that leave, configurations. Callers keep their connections. Nine promises are checked from what callers, endpoints and the platform saw.

--- /dev/null
+++ b/internal/daemon/soaker/world_test.go
@@ -0,0 +1,367 @@
+package soaker
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"pomelotiller/internal/standin/faulter"
+	"pomelotiller/internal/standin/responder"
+	"pomelotiller/internal/standin/steward"
+)
+
+const (
+	host     = "a.example"
+	domains  = 3
+	slots    = 16
+	events   = 12
+	attempts = 3
+	// grace is how long a planned stop may take.
+	grace = 5 * time.Second
+	// timeout is that of every route.
+	timeout = 2 * time.Second
+	// rate and burst are the allowance of the limited organisation, in requests.
+	rate, burst = 40.0, 20.0
+	// retryRatio, retryExtra and retryWindow are the budget of retries.
+	retryRatio  = 0.2
+	retryExtra  = 40
+	retryWindow = 10 * time.Second
+	// restartDelay is how long a process that ended is down.
+	restartDelay = 300 * time.Millisecond
+)
+
+// world is a platform, endpoints, daemons and their callers.
+type world struct {
+	t         *testing.T
+	seed      uint64
+	rand      *rand.Rand
+	ctx       context.Context
+	platform  *steward.Steward
+	platformA string
+	program   string
+	endpoints []*endpoint
+	daemons   []*daemon
+	ledger    *ledger
+	version   int
+	started   int
+}
+
+// endpoint is one endpoint behind a link.
+type endpoint struct {
+	*responder.Endpoint
+	id, service string
+	link        *faulter.Link
+	// leaving is when its leaving was announced; zero if it was not.
+	leaving time.Time
+}
+
+// daemon is one daemon process with the links to it.
+type daemon struct {
+	name, path, callers, ready string
+	// settings is the text of the settings file without what changes.
+	settings string
+	// store leads to the platform, peers to the daemon.
+	store, peers *faulter.Link
+
+	// life is held while the process is being ended and started again.
+	life sync.Mutex
+
+	mu sync.Mutex
+	// cmd is the process, done closes when it has ended.
+	cmd  *exec.Cmd
+	done chan struct{}
+	out  *bytes.Buffer
+	// disturbances are the times during which nothing is asked of the daemon.
+	disturbances []span
+	stops        []time.Time
+}
+
+// span is a stretch of time; one without an end lasts.
+type span struct{ from, to time.Time }
+
+// build builds the program under test once.
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "soaker")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "pomelotiller")
+	if out, err := exec.Command("go", "build", "-o", path, "pomelotiller/cmd/pomelotiller").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build program: %w\n%s", err, out)
+	}
+	return path, nil
+})
+
+// newWorld starts n daemons and waits until they serve.
+func newWorld(t *testing.T, seed uint64, n int) *world {
+	t.Helper()
+	program, err := build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{
+		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), ctx: t.Context(), platform: steward.New(), program: program, ledger: newLedger(),
+	}
+	srv := httptest.NewServer(w.platform.Handler())
+	t.Cleanup(srv.Close)
+	w.platformA = srv.Listener.Addr().String()
+	for _, service := range []string{"desk", "desk", "desk", "pool", "pool", "pool"} {
+		w.addEndpoint(service)
+	}
+	w.configure(false)
+	for i := range n {
+		w.addDaemon(i)
+	}
+	for _, d := range w.daemons {
+		w.start(d)
+	}
+	for _, d := range w.daemons {
+		w.awaitReady(d)
+		w.write(d, false)
+	}
+	return w
+}
+
+// addEndpoint starts an endpoint and announces it.
+func (w *world) addEndpoint(service string) *endpoint {
+	w.t.Helper()
+	w.started++
+	cfg := responder.Config{ID: fmt.Sprint("i-", w.started), Pause: 5 * time.Millisecond}
+	if service == "pool" {
+		cfg.Events = events
+	}
+	r, err := responder.Start(cfg)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() {
+		// The listener is closed either way.
+		_ = r.Close()
+	})
+	e := &endpoint{Endpoint: r, id: cfg.ID, service: service, link: w.link("tcp", "127.0.0.1:0", r.Address())}
+	w.endpoints = append(w.endpoints, e)
+	w.announce(e, steward.StateReady)
+	return e
+}
+
+func (w *world) announce(e *endpoint, state string) {
+	w.t.Helper()
+	a := steward.Announcement{Service: e.service, Address: e.link.Address(), Zone: "z0", Version: "v1", Slots: slots, State: state, Born: 1}
+	if err := w.platform.Announce(e.id, a); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// configure publishes the next configuration, with or without a further route.
+func (w *world) configure(further bool) {
+	w.t.Helper()
+	w.version++
+	route := func(name, kind, service string) steward.Route {
+		return steward.Route{
+			Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, Timeout: int(timeout.Milliseconds()), Target: 500,
+			Attempts: attempts, Service: service, Resumable: kind == steward.KindStream,
+		}
+	}
+	c := steward.Catalog{
+		Version: w.version,
+		Routes: []steward.Route{
+			route("once", steward.KindOnce, "desk"), route("read", steward.KindIdempotent, "desk"), route("stream", steward.KindStream, "pool"),
+		},
+		Services: []steward.Service{{Name: "desk", Connections: 100}, {Name: "pool", Connections: 100}},
+		Tenants:  []steward.Tenant{{Name: "open", Keys: []string{"open-key"}}, {Name: "small", Keys: []string{"small-key"}, Rate: rate, Burst: burst}},
+		Limits:   steward.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, IdleMS: 15000},
+	}
+	if further {
+		c.Routes = append(c.Routes, route("further", steward.KindIdempotent, "desk"))
+	}
+	if _, err := w.platform.Configure(c); err != nil {
+		w.t.Fatal(err)
+	}
+	w.ledger.configured(time.Now(), further)
+}
+
+func (w *world) link(network, listen, target string) *faulter.Link {
+	w.t.Helper()
+	l, err := faulter.Open(w.ctx, faulter.Config{Network: network, Listen: listen, Target: target, Seed: w.rand.Uint64()})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return l
+}
+
+// firstPort starts the ports of daemons, below those that the kernel gives to
+// connections.
+const firstPort = 21000
+
+// nextPort is the port that is tried next; ports guards it.
+var (
+	ports    sync.Mutex
+	nextPort = firstPort
+)
+
+// freeAddress returns an address of loopback that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ports.Lock()
+	defer ports.Unlock()
+	for ; nextPort < firstPort+9000; nextPort++ {
+		a := fmt.Sprint("127.0.0.1:", nextPort)
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			continue
+		}
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+		nextPort++
+		return a
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// addDaemon writes the settings of a daemon and opens the links to it.
+func (w *world) addDaemon(i int) {
+	w.t.Helper()
+	peers := freeAddress(w.t)
+	d := &daemon{name: fmt.Sprint("d", i), callers: freeAddress(w.t), ready: freeAddress(w.t)}
+	d.store = w.link("tcp", "127.0.0.1:0", w.platformA)
+	d.peers = w.link("udp", "127.0.0.1:0", peers)
+	d.settings = fmt.Sprintf(`
+name: %q
+domain: "z%d"
+callers: %q
+operators: %q
+peers: %q
+advertise: %q
+platform: %q
+edge:
+  ready: %q
+  cloud: %q
+  domains: ["z0", "z1", "z2"]
+  first: %%t
+  duties: ["usage"]
+  grace: %s
+  lease: 1s
+  watch: 500ms
+  usage: { window: 1s, late: 10s }
+  retries: { ratio: %g, window: %s, extra: %d }
+  exposure: { share: 0.1 }
+`, d.name, i%domains, d.callers, freeAddress(w.t), peers, d.peers.Address(), d.store.Address(), d.ready, w.platformA, grace, retryRatio, retryWindow, retryExtra)
+	d.path = filepath.Join(w.t.TempDir(), "settings.yaml")
+	w.write(d, true)
+	w.daemons = append(w.daemons, d)
+}
+
+// write writes the settings of a daemon; first says that the whole fleet starts
+// for the first time.
+func (w *world) write(d *daemon, first bool) {
+	w.t.Helper()
+	if err := os.WriteFile(d.path, fmt.Appendf(nil, d.settings, first), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// start starts the process of a daemon. It is ended, by its id, with the test.
+func (w *world) start(d *daemon) {
+	cmd := exec.Command(w.program, "serve", "-c", d.path)
+	out := &bytes.Buffer{}
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		w.t.Errorf("start %s: %v", d.name, err)
+		return
+	}
+	done := make(chan struct{})
+	d.mu.Lock()
+	d.cmd, d.done, d.out = cmd, done, out
+	d.mu.Unlock()
+	go func() {
+		// How it ended is read from its state.
+		_ = cmd.Wait()
+		close(done)
+	}()
+	w.t.Cleanup(func() {
+		// Both fail only where the process has ended.
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		<-done
+		w.keepLog(d.name, out)
+	})
+}
+
+// keepLog writes the output of a daemon to a file where the run failed.
+func (w *world) keepLog(name string, out *bytes.Buffer) {
+	if *logs == "" || !w.t.Failed() {
+		return
+	}
+	f, err := os.CreateTemp(*logs, fmt.Sprintf("seed%d-%s-*.log", w.seed, name))
+	if err != nil {
+		w.t.Logf("log of %s not kept: %v", name, err)
+		return
+	}
+	defer f.Close()
+	if _, err := f.Write(out.Bytes()); err != nil {
+		w.t.Logf("log of %s not kept: %v", name, err)
+	}
+}
+
+// process returns the daemon's process.
+func (d *daemon) process() (*exec.Cmd, chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cmd, d.done
+}
+
+// disturb notes that nothing is asked of the daemon until the returned function
+// is called, and for settleTime after.
+func (d *daemon) disturb() (over func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.disturbances = append(d.disturbances, span{from: time.Now()})
+	i := len(d.disturbances) - 1
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.disturbances[i].to = time.Now().Add(settleTime)
+	}
+}
+
+// calm reports whether the daemon was undisturbed for a stretch of time.
+func (d *daemon) calm(from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.disturbances {
+		if s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitReady waits until a balancer would send callers to the daemon.
+func (w *world) awaitReady(d *daemon) {
+	w.t.Helper()
+	for end := time.Now().Add(readyTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		res, err := http.Get("http://" + d.ready + "/pomelotiller/readyz")
+		if err != nil {
+			continue
+		}
+		// Nothing is read from it.
+		_ = res.Body.Close()
+		if res.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	w.t.Errorf("daemon %s is not ready within %s", d.name, readyTime)
+}
--- a/internal/standin/faulter/faulter.go
+++ b/internal/standin/faulter/faulter.go
@@ -262,7 +262,7 @@
 	}
 }
 
-// endOne passes an orderly end on in one direction, and ends the whole
+// endOne passes an orderly end on in one direction, and resets the whole
 // connection after an error. A silent link passes on neither.
 func (p *pair) endOne(dst net.Conn, err error) {
 	if p.isSilent() {
@@ -273,7 +273,7 @@
 			return
 		}
 	}
-	p.close(false)
+	p.close(true)
 }
 
 func resetOnClose(c net.Conn) {
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -50,6 +50,8 @@
 
 // Run is one run of a request.
 type Run struct {
+	// At is when the run began.
+	At     time.Time
 	ID     string
 	Method string
 	Target string
@@ -202,7 +204,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runs = append(e.runs, Run{
-		ID: req.Header.Get("Pomelotiller-Attempt-Id"), Method: req.Method, Target: req.RequestURI, Header: req.Header, Body: body, From: from,
+		At: time.Now(), ID: req.Header.Get("Pomelotiller-Attempt-Id"), Method: req.Method, Target: req.RequestURI, Header: req.Header, Body: body, From: from,
 	})
 	return len(e.runs) - 1
 }
--- /dev/null
+++ b/internal/standin/steward/document.go
@@ -0,0 +1,96 @@
+package steward
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Catalog is the operator's configuration as the users write it.
+type Catalog struct {
+	Version  int       `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Tenants  []Tenant  `json:"tenants"`
+	Limits   Limits    `json:"limits"`
+}
+
+// Route is one route of a Catalog.
+type Route struct {
+	Name     string `json:"name"`
+	Host     string `json:"host"`
+	Prefix   string `json:"prefix"`
+	Kind     string `json:"route_kind"`
+	Timeout  int    `json:"timeout_ms"`
+	Target   int    `json:"target_latency_ms"`
+	Attempts int    `json:"max_attempts"`
+	Service  string `json:"service"`
+	// Resumable streams may go on at another endpoint.
+	Resumable bool `json:"resumable,omitempty"`
+}
+
+// Kinds of routes.
+const (
+	KindOnce       = "non_idempotent"
+	KindIdempotent = "idempotent"
+	KindStream     = "streaming"
+)
+
+// Service is one service of a Catalog.
+type Service struct {
+	Name        string `json:"name"`
+	Connections int    `json:"max_connections"`
+}
+
+// Tenant is one organisation of a Catalog; a rate of 0 is no limit.
+type Tenant struct {
+	Name  string   `json:"name"`
+	Keys  []string `json:"api_keys"`
+	Rate  float64  `json:"rate_per_s,omitempty"`
+	Burst float64  `json:"burst,omitempty"`
+}
+
+// Limits bound what callers send.
+type Limits struct {
+	HeaderBytes int `json:"max_header_bytes"`
+	BodyBytes   int `json:"max_body_bytes"`
+	IdleMS      int `json:"idle_timeout_ms"`
+}
+
+// Announcement is the entry under which an endpoint announces itself.
+type Announcement struct {
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Version string `json:"version"`
+	Slots   int    `json:"slots"`
+	State   string `json:"state"`
+	Born    int64  `json:"born"`
+}
+
+// States of endpoints.
+const (
+	StateReady    = "ready"
+	StateDraining = "draining"
+)
+
+// Configure publishes a configuration and returns its revision.
+func (s *Steward) Configure(c Catalog) (uint64, error) {
+	b, err := json.Marshal(c)
+	if err != nil {
+		return 0, fmt.Errorf("encode configuration: %w", err)
+	}
+	return s.Put("op/config", b), nil
+}
+
+// Announce writes the entry of an endpoint.
+func (s *Steward) Announce(id string, a Announcement) error {
+	b, err := json.Marshal(a)
+	if err != nil {
+		return fmt.Errorf("encode entry: %w", err)
+	}
+	s.Put("servers/"+id, b)
+	return nil
+}
+
+// Withdraw removes the entry of an endpoint.
+func (s *Steward) Withdraw(id string) { s.Remove("servers/" + id) }
