--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -21,7 +20,6 @@
 
 	"pomelotiller/internal/fleet/messenger"
 	"pomelotiller/internal/observe/logger"
-	"pomelotiller/internal/observe/meter"
 )
 
 const (
@@ -260,79 +258,6 @@
 	}
 }
 
-// own returns the daemon's own status, or nothing where it cannot be encoded.
-func (s *Sharer) own(now time.Time) cbor.RawMessage {
-	st := s.status(now)
-	s.cfg.Fill(&st)
-	s.mu.Lock()
-	if s.overlay.large {
-		s.trim(&st)
-	}
-	s.mu.Unlock()
-	b, err := cbor.Marshal(st)
-	if err != nil {
-		s.log("msg", "status not sent", "error", err)
-		return nil
-	}
-	return b
-}
-
-func (s *Sharer) status(now time.Time) Status {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.number++
-	s.sent = now
-	st := Status{
-		Name: s.cfg.Name, Domain: s.cfg.Domain, Address: s.cfg.Address, Boot: s.cfg.Boot, Number: s.number, Size: s.cfg.Size,
-		Clock: now.UnixMilli(), Revisions: maps.Clone(s.revisions), Ages: make(map[string]int64, len(s.answered)), Stopping: s.stopping, Away: s.away,
-	}
-	for part, at := range s.answered {
-		st.Ages[part] = now.Sub(at).Milliseconds()
-	}
-	if s.overlay.large {
-		// The statuses of peers that hubs pass on name their addresses.
-		return st
-	}
-	for _, p := range s.peers {
-		if !p.Silent {
-			st.Peers = append(st.Peers, p.Address)
-		}
-	}
-	return st
-}
-
-// spentAt is a sum as it was sent, with the number of the status in which it
-// first stood.
-type spentAt struct {
-	total float64
-	since uint64
-}
-
-// spentRepeats is in how many statuses a changed sum is sent, so that losses do
-// not hide it; afterwards it is sent once in spentEvery statuses.
-const (
-	spentRepeats = 3
-	spentEvery   = 8
-)
-
-// trim leaves out of a status what the others know already.
-func (s *Sharer) trim(st *Status) {
-	if st.Number%windowsEvery != 0 {
-		st.Windows = nil
-	}
-	if n := len(st.Windows); n > latestWindows {
-		st.Windows = st.Windows[n-latestWindows:]
-	}
-	st.Spent = slices.DeleteFunc(st.Spent, func(sum Spent) bool {
-		last, ok := s.spent[sum.Organisation]
-		if !ok || last.total != sum.Total {
-			last = spentAt{sum.Total, st.Number}
-			s.spent[sum.Organisation] = last
-		}
-		return st.Number-last.since >= spentRepeats && st.Number%spentEvery != 0
-	})
-}
-
 // retries returns the addresses that are not heard and that are due for another
 // try.
 func (s *Sharer) retries(now time.Time, heard map[string]bool) []string {
@@ -357,107 +282,6 @@
 	return due
 }
 
-func (s *Sharer) send(ctx context.Context, out outgoing) {
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
-	defer cancel()
-	for _, b := range out.bodies {
-		var err error
-		if len(b) <= messenger.MaxDatagramBytes {
-			err = s.transport.Send(ctx, out.address, kind, b)
-		} else {
-			_, err = s.transport.Call(ctx, out.address, kind, b)
-		}
-		s.noteSend(out.address, err)
-		if err != nil {
-			return
-		}
-	}
-}
-
-// noteSend counts a failed send, and logs the first of several in a row.
-func (s *Sharer) noteSend(addr string, err error) {
-	s.mu.Lock()
-	c := s.contacts[addr]
-	changed := c != nil && c.failing != (err != nil)
-	if changed {
-		c.failing = err != nil
-	}
-	s.mu.Unlock()
-	if err != nil {
-		meter.Count(s.cfg.Registry, 1, "status_send_failures_total")
-	}
-	if changed {
-		s.log("msg", "sending to peer", "address", addr, "fails", err != nil, "error", err)
-	}
-}
-
-// receive takes in a bundle of statuses.
-func (s *Sharer) receive(body []byte) {
-	var b bundle
-	if err := cbor.Unmarshal(body, &b); err != nil {
-		s.log("msg", "statuses not readable", "error", err)
-		return
-	}
-	now := time.Now()
-	if b.From == s.cfg.Name {
-		return
-	}
-	s.mu.Lock()
-	s.overlay.heard(b, now)
-	s.mu.Unlock()
-	for _, p := range b.Parcels {
-		var st Status
-		if err := cbor.Unmarshal(p.Status, &st); err != nil {
-			s.log("msg", "status not readable", "from", b.From, "error", err)
-			continue
-		}
-		s.take(b, Peer{Status: st, Heard: now.Add(-time.Duration(p.Age) * time.Millisecond), encoded: p.Status})
-	}
-}
-
-// take takes in the status of another daemon, which came with a bundle.
-func (s *Sharer) take(b bundle, p Peer) {
-	if p.Name == s.cfg.Name {
-		return
-	}
-	s.Contact(append(p.Peers, p.Address)...)
-	s.mu.Lock()
-	old := s.peers[p.Name]
-	if old != nil && (p.Boot < old.Boot || p.Boot == old.Boot && p.Number <= old.Number) {
-		s.mu.Unlock()
-		return
-	}
-	if old != nil && old.Boot == p.Boot {
-		p.keep(old)
-	}
-	p.Ahead = time.Duration(p.Clock-p.Heard.UnixMilli()) * time.Millisecond
-	p.direct = s.overlay.isDirect(b, p.Status)
-	s.overlay.arrivals++
-	p.arrival = s.overlay.arrivals
-	s.peers[p.Name] = &p
-	if s.transport != nil && (old == nil || old.Boot != p.Boot) {
-		// A connection made earlier led to a former process.
-		s.transport.Forget(p.Address)
-	}
-	s.mu.Unlock()
-	if old == nil || old.Boot != p.Boot || old.Silent {
-		s.log("msg", "peer heard", "peer", p.Name, "address", p.Address, "domain", p.Domain, "boot", p.Boot)
-	}
-	s.cfg.Heard(old, &p)
-}
-
-// keep fills in what the peer's former status held and this one leaves out.
-func (p *Peer) keep(old *Peer) {
-	if p.Windows == nil {
-		p.Windows = old.Windows
-	}
-	for _, sum := range old.Spent {
-		if !slices.ContainsFunc(p.Spent, func(n Spent) bool { return n.Organisation == sum.Organisation }) {
-			p.Spent = append(p.Spent, sum)
-		}
-	}
-}
-
 // age marks peers as silent and forgets those that stay so.
 func (s *Sharer) age() {
 	s.mu.Lock()
