Order endpoints by what is asked, also after a cut and a restart of all

Sums of a daemon that was not heard for 2.5 s no longer count as a rate. - Since the need before callers come counted standing endpoints alone, a restart of all under load would have given most back. It counts all, less what is spare. - After a restart prompts counted as unread at the endpoint where their shared parts meet, three times too much, and the pace took 4 s to be learned. Unread now has the credit that the choice has; the pace starts with a third of the weight.

Staffing goes from 2 to 2.5 square roots: with statuses 0.7 s old endpoints queue more than in one pool (predicted 80 ms, first event p90 0.43 s).

--- a/internal/control/scaler/planner.go
+++ b/internal/control/scaler/planner.go
@@ -13,7 +13,7 @@
 	// staffing is how many endpoints there are beside those that reading prompts
 	// keeps busy, as a multiple of the square root of their number: the more
 	// share a load, the smaller the part that must be free for its swings.
-	staffing = 2.0
+	staffing = 2.5
 	// slotFullness is the part of the slots that may be in use.
 	slotFullness = 0.5
 	// standingShare is the part of the endpoints that must not be reclaimable.
@@ -57,10 +57,10 @@
 }
 
 // plan returns the orders that bring the service to what it needs. At the start
-// that is as many as there are without orders: none of them is reclaimable.
+// that is what those that are there suffice for, beside the spare ones.
 func (p *planner) plan(svc registrar.Service, domains []string, present map[subject]int, short map[string]bool, l Load, now time.Time) []Order {
 	if p.asked.IsZero() {
-		p.need = max(p.need, countStanding(present))
+		p.need = max(p.need, coveredBy(total(present), len(domains)))
 		if l.Prompt > 0 || l.Running > 0 {
 			p.asked = now
 		}
@@ -142,13 +142,21 @@
 	return 1
 }
 
-// countStanding sums up the endpoints that are not reclaimable.
-func countStanding(counts map[subject]int) int {
+// coveredBy returns the need that a number of endpoints covers, with what must be
+// spare beside it.
+func coveredBy(n, domains int) int {
+	need := n
+	for need > 0 && need+domains*spareOf((need+domains-1)/domains, domains) > n {
+		need--
+	}
+	return need
+}
+
+// total sums up the counts of all subjects.
+func total(counts map[subject]int) int {
 	n := 0
-	for sub, v := range counts {
-		if !sub.spot {
-			n += v
-		}
+	for _, v := range counts {
+		n += v
 	}
 	return n
 }
--- a/internal/daemon/composer/knowledge.go
+++ b/internal/daemon/composer/knowledge.go
@@ -121,7 +121,7 @@
 func (d *Daemon) heard(old, current *sharer.Peer) {
 	d.chooser.SetPeer(current.Name, current.Loads)
 	d.counter.Hear(current.Name, current.Boot, current.Windows)
-	d.gauge.Hear(current.Name, current.Boot, current.Demands)
+	d.gauge.Hear(current.Name, current.Boot, current.Demands, current.Heard)
 	d.roller.Hear(current.Name, current.Trials, current.Moves)
 	d.heardSpent(old, current)
 	if old == nil || !maps.Equal(old.Revisions, current.Revisions) {
--- a/internal/traffic/chooser/cache.go
+++ b/internal/traffic/chooser/cache.go
@@ -48,7 +48,7 @@
 const (
 	// priorTokens and priorPace are the weight and the prompt tokens a
 	// millisecond that are assumed before anything was learned.
-	priorTokens = 200_000.0
+	priorTokens = 60_000.0
 	priorPace   = 55.0
 	// forgetting is the weight that older samples keep with each new one.
 	forgetting = 0.995
--- a/internal/traffic/chooser/chooser.go
+++ b/internal/traffic/chooser/chooser.go
@@ -59,9 +59,12 @@
 	// running and prompt are this daemon's own, theirs those of all others.
 	running, prompt int
 	theirs          sharer.Load
-	used            time.Time
-	health          health
-	cache           cache
+	// restarted says that the endpoint holds nothing but what it was sent since
+	// it is known.
+	restarted bool
+	used      time.Time
+	health    health
+	cache     cache
 }
 
 // Choice is an endpoint chosen for one attempt.
@@ -118,13 +121,13 @@
 			continue
 		}
 		cand := candidate{Endpoint: e, state: s, remote: e.Domain != c.cfg.Domain, now: now}
-		cost, wait := policy.Cost(q, cand)
-		if found && (cost > bestCost || cost == bestCost && !s.used.Before(used)) {
+		est := policy.Weigh(q, cand)
+		if found && (est.cost > bestCost || est.cost == bestCost && !s.used.Before(used)) {
 			continue
 		}
-		found, bestCost, used = true, cost, s.used
+		found, bestCost, used = true, est.cost, s.used
 		best = Choice{
-			Endpoint: e, Wait: wait, Unread: q.Prompt - s.cache.tokens(q.Parts, now),
+			Endpoint: e, Wait: est.wait, Unread: est.unread,
 			Running: s.running + s.theirs.Running, Queued: s.prompt + s.theirs.Prompt,
 		}
 	}
@@ -178,7 +181,7 @@
 func (c *Chooser) state(id string, born int64) *state {
 	s := c.states[id]
 	if s == nil || s.born != born {
-		s = &state{born: born, cache: newCache()}
+		s = &state{born: born, restarted: s != nil, cache: newCache()}
 		for _, loads := range c.peers {
 			for _, l := range loads {
 				if l.Endpoint == id {
--- a/internal/traffic/chooser/policy.go
+++ b/internal/traffic/chooser/policy.go
@@ -29,25 +29,34 @@
 	now    time.Time
 }
 
-// Policy weighs candidates C for queries Q. The cost decides; the wait is the
-// predicted time until the answer begins.
+// Policy weighs candidates C for queries Q.
 type Policy[Q, C any] interface {
-	Cost(q Q, c C) (cost, wait time.Duration)
+	Weigh(q Q, c C) estimate
+}
+
+// estimate is what a policy expects of a candidate.
+type estimate struct {
+	// cost decides among candidates.
+	cost time.Duration
+	// wait is the time until the answer begins.
+	wait time.Duration
+	// unread is the prompt tokens that the endpoint has to read.
+	unread int
 }
 
 // plainPolicy spreads requests to plain services by what is in flight.
 type plainPolicy struct{}
 
-// Cost implements Policy.
-func (plainPolicy) Cost(_ Query, c candidate) (cost, wait time.Duration) {
+// Weigh implements Policy.
+func (plainPolicy) Weigh(_ Query, c candidate) estimate {
 	slots := max(c.Slots, 1)
 	inFlight := c.state.running + c.state.theirs.Running
-	wait = plainWork
+	wait := plainWork
 	if inFlight >= slots {
 		wait += plainWork * time.Duration(inFlight-slots+1) / time.Duration(slots)
 	}
 	load := plainWork * time.Duration(inFlight) / time.Duration(slots)
-	return wait + load + c.penalty(), wait
+	return estimate{cost: wait + load + c.penalty(), wait: wait}
 }
 
 // batchPolicy predicts when an engine that reads prompts in turn and batches
@@ -57,14 +66,14 @@
 	home  string
 }
 
-// Cost implements Policy.
-func (p batchPolicy) Cost(q Query, c candidate) (cost, wait time.Duration) {
+// Weigh implements Policy.
+func (p batchPolicy) Weigh(q Query, c candidate) estimate {
 	cached := c.state.cache.tokens(q.Parts, c.now)
-	if cached == 0 && c.ID == p.home {
+	if cached == 0 && c.ID == p.home && !c.state.restarted {
 		cached = int(homeCredit * float64(shared(q.Parts)))
 	}
-	tokens := c.state.prompt + c.state.theirs.Prompt + q.Prompt - cached
-	wait = firstTime + p.speed.time(tokens)
+	unread := q.Prompt - cached
+	wait := firstTime + p.speed.time(c.state.prompt+c.state.theirs.Prompt+unread)
 	slots := max(c.Slots, 1)
 	running := c.state.running + c.state.theirs.Running
 	if running >= slots {
@@ -72,7 +81,7 @@
 	}
 	// A full batch slows every token; the cost grows with the batch.
 	crowd := firstTime * time.Duration(running) / time.Duration(slots)
-	return wait + crowd + c.penalty(), wait
+	return estimate{cost: wait + crowd + c.penalty(), wait: wait, unread: unread}
 }
 
 func (c candidate) penalty() time.Duration {
