--- a/internal/daemon/soaker/world_test.go
+++ b/internal/daemon/soaker/world_test.go
@@ -349,10 +349,27 @@
 	return true
 }
 
-// awaitReady waits until a balancer would send callers to the daemon.
+// endedAtStart reports whether a signal ended the daemon's process before it could
+// take signals.
+func (d *daemon) endedAtStart() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-d.done:
+		return !bytes.Contains(d.out.Bytes(), []byte("msg=started"))
+	default:
+		return false
+	}
+}
+
+// awaitReady waits until a balancer would send callers to the daemon. Like the
+// platform, it starts a process again that a signal ended at its start.
 func (w *world) awaitReady(d *daemon) {
 	w.t.Helper()
 	for end := time.Now().Add(readyTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if d.endedAtStart() {
+			w.start(d)
+		}
 		res, err := http.Get("http://" + d.ready + "/pomelotiller/readyz")
 		if err != nil {
 			continue
