--- /dev/null
+++ b/internal/daemon/composer/peers.go
@@ -0,0 +1,186 @@
+package composer
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net"
+	"time"
+
+	"pomelotiller/internal/fleet/issuer"
+	"pomelotiller/internal/fleet/messenger"
+	"pomelotiller/internal/fleet/sharer"
+	"pomelotiller/internal/fleet/ticker"
+	"pomelotiller/internal/remote/storer"
+)
+
+const (
+	// memberPrefix starts the keys under which daemons leave their addresses.
+	memberPrefix = "fleet/members/"
+	// joinDelay is the time between two tries to join.
+	joinDelay = 200 * time.Millisecond
+)
+
+// fill completes the status that goes to the other daemons.
+func (d *Daemon) fill(s *sharer.Status) {
+	s.Loads = d.chooser.Loads()
+	for org, total := range d.allowances.Totals() {
+		s.Spent = append(s.Spent, sharer.Spent{Organisation: org, Total: total})
+	}
+	s.Windows = d.counter.Shared()
+	s.Demands = d.gauge.Shared()
+	s.Trials, s.Moves = d.roller.Shared()
+}
+
+// heard takes in a status of another daemon.
+func (d *Daemon) heard(old, current *sharer.Peer) {
+	d.chooser.SetPeer(current.Name, current.Loads)
+	d.counter.Hear(current.Name, current.Boot, current.Windows)
+	d.gauge.Hear(current.Name, current.Boot, current.Demands, current.Heard)
+	d.roller.Hear(current.Name, current.Trials, current.Moves)
+	d.heardSpent(old, current)
+	if old == nil || !maps.Equal(old.Revisions, current.Revisions) {
+		d.operator.Wake()
+		d.endpoints.Wake()
+	}
+}
+
+// lost takes a daemon that is silent out of what is counted.
+func (d *Daemon) lost(name string) { d.chooser.SetPeer(name, nil) }
+
+// heardSpent takes from the allowances what another daemon let through since
+// its last status. What it let through before this daemon knew it does not
+// count.
+func (d *Daemon) heardSpent(old, current *sharer.Peer) {
+	if old == nil {
+		return
+	}
+	var quiet time.Duration
+	if old.Silent {
+		quiet = current.Heard.Sub(old.Heard)
+	}
+	before := make(map[string]float64, len(old.Spent))
+	if old.Boot == current.Boot {
+		for _, s := range old.Spent {
+			before[s.Organisation] = s.Total
+		}
+	}
+	now := time.Now()
+	for _, s := range current.Spent {
+		if delta := s.Total - before[s.Organisation]; delta != 0 {
+			d.allowances.Spend(s.Organisation, delta, quiet, now)
+		}
+	}
+}
+
+// unknownMembers is the number of daemons that is assumed before the store has
+// told of any.
+const unknownMembers = 16
+
+// count returns how many daemons there may be and how many are not heard.
+func (d *Daemon) count() (members, silent int) {
+	members, silent = d.sharer.Count()
+	if !d.joined.Load() {
+		return max(members, unknownMembers), max(silent, unknownMembers-1)
+	}
+	return members, silent
+}
+
+func (d *Daemon) memberCount() int {
+	members, _ := d.count()
+	return members
+}
+
+// runPeers gets key material, joins the other daemons and serves them.
+func (d *Daemon) runPeers(ctx context.Context) error {
+	var id messenger.Identity
+	for first := true; ; first = false {
+		var err error
+		if id, err = issuer.Identity(ctx, d.cfg.Adapter.Store, d.cfg.Settings.Name); err == nil {
+			break
+		}
+		if first {
+			d.log("msg", "no key material yet", "error", err)
+		}
+		if !ticker.Pause(ctx, joinDelay) {
+			return nil
+		}
+	}
+	m, err := messenger.New(messenger.Config{Listen: d.cfg.Settings.Peers, Identity: &id, Registry: d.registry})
+	if err != nil {
+		return err
+	}
+	d.operatorHandlers(m)
+	d.sharer.Contact(d.seeds()...)
+	d.sharer.Attach(m)
+	go d.register(ctx)
+	return m.Run(ctx)
+}
+
+func (d *Daemon) operatorHandlers(m *messenger.Messenger) {
+	m.Handle(d.operator.Kind(), d.operator.Answer)
+	m.Handle(d.endpoints.Kind(), d.endpoints.Answer)
+}
+
+// seeds returns the addresses of daemons that the settings name. They name
+// hosts at other ports; daemons have the same ports everywhere.
+func (d *Daemon) seeds() []string {
+	_, port, err := net.SplitHostPort(d.cfg.Settings.Peers)
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, s := range d.settings().Seeds {
+		if host, _, err := net.SplitHostPort(s); err == nil {
+			out = append(out, net.JoinHostPort(host, port))
+		}
+	}
+	return out
+}
+
+// register leaves this daemon's address in the store and reads those of others.
+func (d *Daemon) register(ctx context.Context) {
+	for {
+		err := d.join(ctx)
+		if err == nil {
+			d.joined.Store(true)
+			return
+		}
+		if !ticker.Pause(ctx, joinDelay) {
+			return
+		}
+		d.log("msg", "not registered", "error", err)
+	}
+}
+
+func (d *Daemon) join(ctx context.Context) error {
+	store := d.cfg.Adapter.Store
+	p, err := store.List(ctx, memberPrefix)
+	if err != nil {
+		return err
+	}
+	key, self := memberPrefix+d.cfg.Settings.Name, d.cfg.Settings.PeersAddress()
+	var expect uint64
+	registered := false
+	for _, e := range p.Entries {
+		var addr string
+		if err := json.Unmarshal(e.Value, &addr); err != nil {
+			d.log("msg", "member not readable", "key", e.Key, "error", err)
+			continue
+		}
+		if e.Key == key {
+			expect, registered = e.Revision, addr == self
+			continue
+		}
+		d.sharer.Contact(addr)
+	}
+	if registered {
+		return nil
+	}
+	b, err := json.Marshal(self)
+	if err != nil {
+		return err
+	}
+	_, err = store.Swap(ctx, storer.Write{Key: key, Value: b, Expect: expect})
+	return err
+}
--- a/internal/fleet/sharer/bundle.go
+++ b/internal/fleet/sharer/bundle.go
@@ -36,9 +36,9 @@
 	bodies  [][]byte
 }
 
-// outgoing returns the bundles that are due: own is the daemon's own status, or
+// due returns the bundles that go out now: own is the daemon's own status, or
 // nothing where it is not due.
-func (s *Sharer) outgoing(now time.Time, own cbor.RawMessage) []outgoing {
+func (s *Sharer) due(now time.Time, own cbor.RawMessage) []outgoing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.transport == nil {
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -247,13 +247,13 @@
 	s.mu.Lock()
 	s.recount()
 	s.arrange(now)
-	due := hasty || now.Sub(s.sent) >= s.period()-hubPeriod/2
+	ownDue := hasty || now.Sub(s.sent) >= s.period()-hubPeriod/2
 	s.mu.Unlock()
 	var own cbor.RawMessage
-	if due {
+	if ownDue {
 		own = s.own(now)
 	}
-	for _, out := range s.outgoing(now, own) {
+	for _, out := range s.due(now, own) {
 		go s.send(ctx, out)
 	}
 }
