--- a/internal/traffic/carrier/account.go
+++ b/internal/traffic/carrier/account.go
@@ -34,6 +34,7 @@
 		fields = append(fields, "bound", q.end.Sub(q.start))
 	}
 	if err != nil {
+		fields = append(fields, q.choiceFields()...)
 		fields = append(fields, "error", err)
 		logger.Warn(c.cfg.Logger, fields...)
 		return
@@ -41,6 +42,19 @@
 	logger.Info(c.cfg.Logger, fields...)
 }
 
+// choiceFields returns what decided that a request was not sent, for its line in
+// the log. Those of a request that was sent stand in the lines of its attempts.
+func (q *request) choiceFields() []any {
+	if q.attempts > 0 || q.choice.Candidates == 0 {
+		return nil
+	}
+	ch := q.choice
+	return []any{
+		"endpoint", ch.Endpoint.ID, "predicted", ch.Wait, "running", ch.Running, "queued", ch.Queued, "unread", ch.Unread,
+		"candidates", ch.Candidates,
+	}
+}
+
 // timeFirst observes the time to the first event of a stream.
 func (c *Carrier) timeFirst(q *request) {
 	c.observe("first_event_seconds", q.route.Name, time.Since(q.start))
--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -110,6 +110,8 @@
 	// state only ever moves forward.
 	state    refuser.RunState
 	attempts int
+	// choice is the latest endpoint that was chosen.
+	choice chooser.Choice
 	// last is the latest whole answer that says failure.
 	last *answer
 	// events is what was passed on of a stream.
--- a/internal/traffic/carrier/serve.go
+++ b/internal/traffic/carrier/serve.go
@@ -62,6 +62,7 @@
 	snap := c.cfg.Endpoints()
 	q.list = snap.Version
 	ch, ok := c.cfg.Chooser.Pick(q.query, snap.Services[q.service.Name])
+	q.choice = ch
 	if q.attempts == 0 {
 		unread := q.Prompt
 		if ok {
