--- a/internal/daemon/soaker/faults_test.go
+++ b/internal/daemon/soaker/faults_test.go
@@ -152,7 +152,7 @@
 }
 
 // breakPeerLink cuts the way of others to a daemon, or makes it lossy or slow.
-func breakPeerLink(w *world, p pick) {
+func breakPeerLink(_ *world, p pick) {
 	over := p.daemon.disturb()
 	p.daemon.peers.Set([]faulter.Behaviour{
 		{Mode: faulter.ModeBlackhole}, {Mode: faulter.ModePass, Loss: 0.3}, {Mode: faulter.ModePass, Delay: 200 * time.Millisecond},
