Send all sums in each status again

Found on reading the change anew: in a large fleet statuses left out sums that had not changed, and a daemon that joined late took the whole sum, when it came, for spent just now. It emptied its copy of an organisation's allowance by all that every daemon had let through since its start, and refused that organisation until it had filled again. TestFirstStatusHasAllSums failed before (0 of 2 sums). Leaving sums out is gone, and what kept former ones with it; a status grows by about 20 bytes for each organisation that was left out.

Hubs send each other nothing where there is nothing new.

--- a/internal/fleet/sharer/bundle.go
+++ b/internal/fleet/sharer/bundle.go
@@ -104,6 +104,9 @@
 		}
 	}
 	down := s.pack(false, now, own, news)
+	if len(down) == 0 {
+		down = s.nothingNew()
+	}
 	limit := silence * s.period()
 	for name, a := range o.attached {
 		p := s.peers[name]
@@ -152,8 +155,10 @@
 	return names
 }
 
-// pack puts statuses into bundles that fit a datagram each. A bundle without
-// any says that the daemon is alive.
+// nothingNew is the bundle that tells attached daemons that their hub lives.
+func (s *Sharer) nothingNew() [][]byte { return s.encode(false, nil) }
+
+// pack puts statuses into bundles that fit a datagram each.
 func (s *Sharer) pack(wants bool, now time.Time, own cbor.RawMessage, peers []*Peer) [][]byte {
 	var parcels []parcel
 	if own != nil {
@@ -162,23 +167,25 @@
 	for _, p := range peers {
 		parcels = append(parcels, parcel{Status: p.encoded, Age: now.Sub(p.Heard).Milliseconds()})
 	}
-	if len(parcels) == 0 && wants {
-		return nil
-	}
 	var bodies [][]byte
-	for first := true; first || len(parcels) > 0; first = false {
+	for len(parcels) > 0 {
 		n, size := 0, bundleMargin
 		for n < len(parcels) && (n == 0 || size+len(parcels[n].Status) <= messenger.MaxDatagramBytes) {
 			size += len(parcels[n].Status) + parcelMargin
 			n++
 		}
-		b, err := cbor.Marshal(bundle{From: s.cfg.Name, Wants: wants, Parcels: parcels[:n]})
-		if err != nil {
-			s.log("msg", "statuses not sent", "error", err)
-			return nil
-		}
-		bodies = append(bodies, b)
+		bodies = append(bodies, s.encode(wants, parcels[:n])...)
 		parcels = parcels[n:]
 	}
 	return bodies
 }
+
+// encode returns one bundle, or nothing where it cannot be encoded.
+func (s *Sharer) encode(wants bool, parcels []parcel) [][]byte {
+	b, err := cbor.Marshal(bundle{From: s.cfg.Name, Wants: wants, Parcels: parcels})
+	if err != nil {
+		s.log("msg", "statuses not sent", "error", err)
+		return nil
+	}
+	return [][]byte{b}
+}
--- a/internal/fleet/sharer/exchange.go
+++ b/internal/fleet/sharer/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -54,10 +53,10 @@
 		s.log("msg", "statuses not readable", "error", err)
 		return
 	}
-	now := time.Now()
 	if b.From == s.cfg.Name {
 		return
 	}
+	now := time.Now()
 	s.mu.Lock()
 	s.overlay.heard(b, now)
 	s.mu.Unlock()
@@ -83,9 +82,6 @@
 		s.mu.Unlock()
 		return
 	}
-	if old != nil && old.Boot == p.Boot {
-		p.keep(old)
-	}
 	p.Ahead = time.Duration(p.Clock-p.Heard.UnixMilli()) * time.Millisecond
 	p.direct = s.overlay.isDirect(b, p.Status)
 	s.overlay.arrivals++
@@ -101,15 +97,3 @@
 	}
 	s.cfg.Heard(old, &p)
 }
-
-// keep fills in what the peer's former status held and this one leaves out.
-func (p *Peer) keep(old *Peer) {
-	if p.Windows == nil {
-		p.Windows = old.Windows
-	}
-	for _, sum := range old.Spent {
-		if !slices.ContainsFunc(p.Spent, func(n Spent) bool { return n.Organisation == sum.Organisation }) {
-			p.Spent = append(p.Spent, sum)
-		}
-	}
-}
--- a/internal/fleet/sharer/overlay.go
+++ b/internal/fleet/sharer/overlay.go
@@ -10,6 +10,20 @@
 	"pomelotiller/internal/fleet/viewer"
 )
 
+const (
+	// hubPeriod is the time between two bundles of a hub. It adds to the age of
+	// a status twice on its way through two hubs.
+	hubPeriod = 200 * time.Millisecond
+	// hubSilence is how long a daemon waits for the bundles of its hub before it
+	// turns to another.
+	hubSilence = 5 * hubPeriod
+	// shunTime is how long a hub that was silent is not turned to again.
+	shunTime = 5 * time.Second
+	// smallHub is the size, as a share of the largest host of the failure domain,
+	// from which on a host carries others.
+	smallHub = 0.5
+)
+
 // overlay is who sends to whom.
 type overlay struct {
 	// large says that statuses go through hubs.
@@ -94,10 +108,6 @@
 	return &Peer{Status: Status{Name: s.cfg.Name, Domain: s.cfg.Domain, Size: s.cfg.Size}}
 }
 
-// smallHub is the size, as a share of the largest host of the failure domain,
-// from which on a host carries others.
-const smallHub = 0.5
-
 // largest returns the names of up to n members with the largest hosts.
 func largest(members []*Peer, n int) []string {
 	slices.SortFunc(members, func(a, b *Peer) int {
--- a/internal/fleet/sharer/overlay_test.go
+++ b/internal/fleet/sharer/overlay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -212,3 +213,38 @@
 		}
 	})
 }
+
+// A daemon that joins late knows all sums of another from the first status on;
+// a sum that came later would look as if it had just been spent.
+func TestFirstStatusHasAllSums(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFabric()
+		f.fill = func(st *Status) {
+			st.Spent = []Spent{{Organisation: "steady", Total: 7}, {Organisation: "other", Total: 9}}
+		}
+		startLarge(ctx, t, f)
+		var mu sync.Mutex
+		first := make(map[string]int)
+		f.heard = func(old, current *Peer) {
+			mu.Lock()
+			defer mu.Unlock()
+			if old == nil {
+				first[current.Name] = len(current.Spent)
+			}
+		}
+		f.start(ctx, large, 1, "a0")
+		time.Sleep(5 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		for name, got := range first {
+			if got != 2 {
+				t.Errorf("the first status of %s that the new daemon heard has %d sums, want 2", name, got)
+			}
+		}
+		if len(first) < large {
+			t.Errorf("the new daemon heard %d others, want %d", len(first), large)
+		}
+	})
+}
--- a/internal/fleet/sharer/own.go
+++ b/internal/fleet/sharer/own.go
@@ -2,21 +2,26 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 )
 
+const (
+	// windowsEvery is how many statuses pass from one with windows of usage to
+	// the next in a large fleet, and latestWindows how many it then holds, so
+	// that most statuses fit a datagram.
+	windowsEvery  = 2
+	latestWindows = 2
+)
+
 // own returns the daemon's own status, or nothing where it cannot be encoded.
-func (s *Sharer) own(now time.Time) cbor.RawMessage {
+func (s *Sharer) own(now time.Time, large bool) cbor.RawMessage {
 	st := s.status(now)
 	s.cfg.Fill(&st)
-	s.mu.Lock()
-	if s.overlay.large {
-		s.trim(&st)
+	if large {
+		trim(&st)
 	}
-	s.mu.Unlock()
 	b, err := cbor.Marshal(st)
 	if err != nil {
 		s.log("msg", "status not sent", "error", err)
@@ -49,34 +54,13 @@
 	return st
 }
 
-// spentAt is a sum as it was sent, with the number of the status in which it
-// first stood.
-type spentAt struct {
-	total float64
-	since uint64
-}
-
-// spentRepeats is in how many statuses a changed sum is sent, so that losses do
-// not hide it; afterwards it is sent once in spentEvery statuses.
-const (
-	spentRepeats = 3
-	spentEvery   = 8
-)
-
-// trim leaves out of a status what the others know already.
-func (s *Sharer) trim(st *Status) {
+// trim leaves windows of usage out of a status that the others know already. Sums
+// stay: one that came later than others would look as if it had just been spent.
+func trim(st *Status) {
 	if st.Number%windowsEvery != 0 {
 		st.Windows = nil
 	}
 	if n := len(st.Windows); n > latestWindows {
 		st.Windows = st.Windows[n-latestWindows:]
 	}
-	st.Spent = slices.DeleteFunc(st.Spent, func(sum Spent) bool {
-		last, ok := s.spent[sum.Organisation]
-		if !ok || last.total != sum.Total {
-			last = spentAt{sum.Total, st.Number}
-			s.spent[sum.Organisation] = last
-		}
-		return st.Number-last.since >= spentRepeats && st.Number%spentEvery != 0
-	})
 }
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -28,19 +28,6 @@
 	// baseSize is the number of peers up to which basePeriod holds; beyond, the
 	// period grows with the fleet, so that the load of a daemon stays bounded.
 	baseSize = 12
-	// hubPeriod is the time between two bundles of a hub. It adds to the age of
-	// a status twice on its way through two hubs.
-	hubPeriod = 200 * time.Millisecond
-	// hubSilence is how long a daemon waits for the bundles of its hub before it
-	// turns to another.
-	hubSilence = 5 * hubPeriod
-	// shunTime is how long a hub that was silent is not turned to again.
-	shunTime = 5 * time.Second
-	// windowsEvery is how many statuses pass from one with windows of usage to
-	// the next in a large fleet, and latestWindows how many it then holds, so
-	// that most statuses fit a datagram.
-	windowsEvery  = 2
-	latestWindows = 2
 	// statusDelays is how many periods a status may be late.
 	statusDelays = 2
 	// silence is how many periods without a status make a peer silent.
@@ -134,7 +121,6 @@
 	members, silent int
 	revisions       map[string]uint64
 	answered        map[string]time.Time
-	spent           map[string]spentAt
 	stopping        bool
 	away            bool
 	soon            chan struct{}
@@ -144,7 +130,7 @@
 func New(cfg Config) *Sharer {
 	return &Sharer{
 		cfg: cfg, peers: make(map[string]*Peer), contacts: make(map[string]*contact), overlay: newOverlay(), members: 1,
-		revisions: make(map[string]uint64), answered: make(map[string]time.Time), spent: make(map[string]spentAt),
+		revisions: make(map[string]uint64), answered: make(map[string]time.Time),
 		soon: make(chan struct{}, 1),
 	}
 }
@@ -247,11 +233,12 @@
 	s.mu.Lock()
 	s.recount()
 	s.arrange(now)
+	large := s.overlay.large
 	ownDue := hasty || now.Sub(s.sent) >= s.period()-hubPeriod/2
 	s.mu.Unlock()
 	var own cbor.RawMessage
 	if ownDue {
-		own = s.own(now)
+		own = s.own(now, large)
 	}
 	for _, out := range s.due(now, own) {
 		go s.send(ctx, out)
--- a/internal/fleet/sharer/sharer_test.go
+++ b/internal/fleet/sharer/sharer_test.go
@@ -24,6 +24,8 @@
 	cut   func(from, to string) bool
 	// fill completes the status of each daemon.
 	fill func(*Status)
+	// heard is told of the statuses that daemons take in that start from now on.
+	heard func(old, current *Peer)
 	// sent counts messages by sender.
 	sent map[string]int
 }
@@ -39,7 +41,7 @@
 var errCut = errors.New("no link")
 
 func newFabric() *fabric {
-	return &fabric{ports: make(map[string]*port), sent: make(map[string]int), fill: func(*Status) {}, cut: func(string, string) bool { return false }}
+	return &fabric{ports: make(map[string]*port), sent: make(map[string]int), fill: func(*Status) {}, heard: func(_, _ *Peer) {}, cut: func(string, string) bool { return false }}
 }
 
 func (f *fabric) port(addr string) *port {
@@ -86,7 +88,7 @@
 	addr := fmt.Sprint("a", n)
 	s := New(Config{
 		Name: fmt.Sprint("d", n), Domain: fmt.Sprint("z", n%3), Address: addr, Boot: boot, Fill: f.fill,
-		Heard: func(_, _ *Peer) {}, Lost: func(string) {}, Logger: log.NewNopLogger(), Registry: metrics.NewRegistry(),
+		Heard: f.heard, Lost: func(string) {}, Logger: log.NewNopLogger(), Registry: metrics.NewRegistry(),
 	})
 	s.Contact(contacts...)
 	s.Attach(f.port(addr))
