Judge by silence, not by a fixed time, whether sums of a daemon are a rate

Found on reading the change anew: sums that came 2.5 s after the former ones did not count as a rate, and at 300 daemons the period of statuses is 2.5 s, so a holder of the duty would have seen no load but its own. TestRateOfLargeFleet gets 0 for 1,000 tokens a second if every status counts as one after a gap, as there. What the sharer says of silence decides now.

A window of usage that nobody reported is logged as missed again by a holder that has no counts of it, such as after a restart of all. TestMissedWindowsAreLogged failed before.

--- a/internal/control/accounter/accounter.go
+++ b/internal/control/accounter/accounter.go
@@ -101,17 +101,12 @@
 	}
 }
 
-// miss gives up a window that is too late to be reported, unless an earlier
-// holder of the duty fixed its report.
+// miss logs a window that is too late to be reported, unless an earlier holder of
+// the duty fixed its report.
 func (a *Accounter) miss(ctx context.Context, w int64, late time.Duration) {
-	if len(a.cfg.Counter.Counts(w)) == 0 {
-		return
-	}
-	_, err := a.cfg.Store.Get(ctx, key(w))
-	if err == nil {
-		return
+	if _, err := a.cfg.Store.Get(ctx, key(w)); err != nil {
+		a.log("msg", "usage window missed", "window", w, "late", late, "organisations", len(a.cfg.Counter.Counts(w)), "error", err)
 	}
-	a.log("msg", "usage window missed", "window", w, "late", late, "error", err)
 }
 
 // done notes that a window needs no more work. Windows are done in order, or
--- a/internal/control/accounter/accounter_test.go
+++ b/internal/control/accounter/accounter_test.go
@@ -1,9 +1,12 @@
 package accounter
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"maps"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,15 +51,16 @@
 	*Accounter
 	counter *Counter
 	duty    *duty
+	lines   *bytes.Buffer
 }
 
 func newHolder(store storer.Store, p *platform, number uint64) holder {
 	d := &duty{fence: dutykeeper.Fence{Holder: "a", Number: number}, held: true}
-	c := NewCounter(width)
+	c, lines := NewCounter(width), &bytes.Buffer{}
 	return holder{New(Config{
 		Duty: "platform", Late: 10 * time.Second, Keeper: d, Counter: c, Store: store, Reporter: p, Now: time.Now,
-		Logger: log.NewNopLogger(), Registry: metrics.NewRegistry(),
-	}), c, d}
+		Logger: log.NewLogfmtLogger(lines), Registry: metrics.NewRegistry(),
+	}), c, d, lines}
 }
 
 // count counts n requests of an organisation in the window that begins now.
@@ -108,6 +112,34 @@
 	})
 }
 
+// A new holder says of old windows that they were missed where no holder before
+// it reported them, whether it knows their counts or not, and of no others.
+func TestMissedWindowsAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, p := memorizer.New(memorizer.Config{Now: time.Now}), &platform{}
+		first, second := newHolder(store, p, 1), newHolder(store, p, 2)
+		time.Sleep(width - time.Duration(time.Now().UnixNano()%int64(width)))
+		reported := first.counter.Window(time.Now())
+		for range 2 {
+			count(second.counter, "a", 1)
+			time.Sleep(width)
+		}
+		time.Sleep(2*time.Second - width)
+		first.Tick(t.Context())
+		time.Sleep(15 * time.Second)
+		restarted := newHolder(store, p, 3)
+		for _, h := range []holder{second, restarted} {
+			h.Tick(t.Context())
+			for w, want := range map[int64]bool{reported: false, reported + 1: true} {
+				line := fmt.Sprintf("msg=\"usage window missed\" window=%d ", w)
+				if got := strings.Contains(h.lines.String(), line); got != want {
+					t.Errorf("window %d: got it logged as missed: %t, want %t; lines %q", w, got, want, h.lines.String())
+				}
+			}
+		}
+	})
+}
+
 func TestFencedHolderYields(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &platform{err: dutykeeper.ErrFenced}
--- a/internal/control/scaler/gauge.go
+++ b/internal/control/scaler/gauge.go
@@ -14,9 +14,6 @@
 	samplePeriod = 250 * time.Millisecond
 	// span is what rates are taken over.
 	span = 2500 * time.Millisecond
-	// longestGap is the time without sums of a daemon after which what it was
-	// asked for meanwhile is no rate of now.
-	longestGap = 2500 * time.Millisecond
 )
 
 // Gauge sums up what all daemons are asked for, by service.
@@ -31,7 +28,6 @@
 // heard is the latest sums of one start of another daemon.
 type heard struct {
 	boot    int64
-	at      time.Time
 	demands map[string]sharer.Demand
 }
 
@@ -81,24 +77,23 @@
 
 // Hear takes in the sums of another daemon. The sums of a new start begin anew,
 // so that the past is moved by what the former start had; and by what was added
-// while nothing was heard.
-func (g *Gauge) Hear(name string, boot int64, demands []sharer.Demand, now time.Time) {
+// while the daemon was silent, which is no rate of now.
+func (g *Gauge) Hear(name string, boot int64, demands []sharer.Demand, wasSilent bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	h := heard{boot, now, make(map[string]sharer.Demand, len(demands))}
+	h := heard{boot, make(map[string]sharer.Demand, len(demands))}
 	for _, d := range demands {
 		h.demands[d.Service] = d
 	}
 	old, known := g.others[name]
 	g.others[name] = h
 	same := known && old.boot == boot
-	gap := same && now.Sub(old.at) > longestGap
-	if same && !gap {
+	if same && !wasSilent {
 		return
 	}
 	for service := range union(old.demands, h.demands) {
 		shift := old.demands[service].Prompt
-		if !known || gap {
+		if !known || same {
 			shift -= h.demands[service].Prompt
 		}
 		for _, s := range g.past {
--- a/internal/control/scaler/gauge_test.go
+++ b/internal/control/scaler/gauge_test.go
@@ -1,6 +1,7 @@
 package scaler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,14 +14,14 @@
 	g := NewGauge()
 	now := time.Unix(100, 0)
 	const perSecond = 1000.0
-	tell := func(sum float64) {
-		g.Hear("other", 1, []sharer.Demand{{Service: "s", Prompt: sum}}, now)
+	tell := func(sum float64, wasSilent bool) {
+		g.Hear("other", 1, []sharer.Demand{{Service: "s", Prompt: sum}}, wasSilent)
 	}
 	sum := 0.0
 	for range 100 {
 		now = now.Add(100 * time.Millisecond)
 		sum += perSecond / 10
-		tell(sum)
+		tell(sum, false)
 		g.Prompt("s", now)
 	}
 	for range 60 {
@@ -28,10 +29,10 @@
 		sum += perSecond / 10
 		g.Prompt("s", now)
 	}
-	for range 30 {
+	for i := range 30 {
 		now = now.Add(100 * time.Millisecond)
 		sum += perSecond / 10
-		tell(sum)
+		tell(sum, i == 0)
 		if got := g.Prompt("s", now); got > 1.2*perSecond {
 			t.Fatalf("got %.0f tokens a second after the cut, want about %.0f", got, perSecond)
 		}
@@ -40,3 +41,25 @@
 		t.Errorf("got %.0f tokens a second long after the cut, want about %.0f", got, perSecond)
 	}
 }
+
+// In a large fleet each daemon is heard of seldom; what all are asked for counts
+// all the same.
+func TestRateOfLargeFleet(t *testing.T) {
+	const (
+		daemons   = 300
+		period    = 2900 * time.Millisecond
+		perSecond = 1000.0
+	)
+	g := NewGauge()
+	start := time.Unix(100, 0)
+	got := 0.0
+	for at := time.Duration(0); at < 12*time.Second; at += period / daemons {
+		n := int(at / (period / daemons))
+		sum := perSecond * at.Seconds() / daemons
+		g.Hear(fmt.Sprint(n%daemons), 1, []sharer.Demand{{Service: "s", Prompt: sum}}, false)
+		got = g.Prompt("s", start.Add(at))
+	}
+	if got < 0.8*perSecond || got > 1.2*perSecond {
+		t.Errorf("got %.0f tokens a second, want about %.0f", got, perSecond)
+	}
+}
--- a/internal/daemon/composer/peers.go
+++ b/internal/daemon/composer/peers.go
@@ -36,7 +36,7 @@
 func (d *Daemon) heard(old, current *sharer.Peer) {
 	d.chooser.SetPeer(current.Name, current.Loads)
 	d.counter.Hear(current.Name, current.Boot, current.Windows)
-	d.gauge.Hear(current.Name, current.Boot, current.Demands, current.Heard)
+	d.gauge.Hear(current.Name, current.Boot, current.Demands, old != nil && old.Silent)
 	d.roller.Hear(current.Name, current.Trials, current.Moves)
 	d.heardSpent(old, current)
 	if old == nil || !maps.Equal(old.Revisions, current.Revisions) {
