--- a/internal/traffic/carrier/account.go
+++ b/internal/traffic/carrier/account.go
@@ -9,6 +9,7 @@
 
 	"pomelotiller/internal/observe/logger"
 	"pomelotiller/internal/observe/meter"
+	"pomelotiller/internal/traffic/chooser"
 )
 
 // account counts and logs the end of a request.
@@ -34,7 +35,10 @@
 		fields = append(fields, "bound", q.end.Sub(q.start))
 	}
 	if err != nil {
-		fields = append(fields, q.choiceFields()...)
+		if q.attempts == 0 && q.choice.Candidates > 0 {
+			// What was sent has lines of its own.
+			fields = append(fields, choiceFields(q.choice)...)
+		}
 		fields = append(fields, "error", err)
 		logger.Warn(c.cfg.Logger, fields...)
 		return
@@ -42,16 +46,11 @@
 	logger.Info(c.cfg.Logger, fields...)
 }
 
-// choiceFields returns what decided that a request was not sent, for its line in
-// the log. Those of a request that was sent stand in the lines of its attempts.
-func (q *request) choiceFields() []any {
-	if q.attempts > 0 || q.choice.Candidates == 0 {
-		return nil
-	}
-	ch := q.choice
+// choiceFields returns what decided that an endpoint was chosen.
+func choiceFields(ch chooser.Choice) []any {
 	return []any{
-		"endpoint", ch.Endpoint.ID, "predicted", ch.Wait, "running", ch.Running, "queued", ch.Queued, "unread", ch.Unread,
-		"candidates", ch.Candidates,
+		"endpoint", ch.Endpoint.ID, "release", ch.Endpoint.Version, "predicted", ch.Wait, "running", ch.Running,
+		"queued", ch.Queued, "unread", ch.Unread, "candidates", ch.Candidates,
 	}
 }
 
@@ -67,12 +66,9 @@
 // logAttempt logs how an attempt at one endpoint ended, with what decided that
 // it was sent there.
 func (c *Carrier) logAttempt(q *request, a *answer, err error) {
-	ch := a.choice
-	fields := []any{
-		"msg", "attempt", "id", q.ID, "n", q.attempts, "endpoint", ch.Endpoint.ID, "release", ch.Endpoint.Version,
-		"predicted", ch.Wait, "running", ch.Running, "queued", ch.Queued, "unread", ch.Unread, "candidates", ch.Candidates,
-		"endpoints", q.list, "took", time.Since(a.sent),
-	}
+	fields := []any{"msg", "attempt", "id", q.ID, "n", q.attempts}
+	fields = append(fields, choiceFields(a.choice)...)
+	fields = append(fields, "endpoints", q.list, "took", time.Since(a.sent))
 	if !a.first.IsZero() {
 		fields = append(fields, "first", a.first.Sub(a.sent))
 	}
