Let periodic work of a process fall due at the same instants

Cause: an idle daemon woke up some 110 times a second, since each loop of 50, 100, 200 and 500 ms ran by its own timer.

Ruled out: longer periods alone; what must be noticed soon still is.

ticker.Every fires at multiples of its period, shifted by a phase of the process, so that daemons do not fall due together. TestWorksFallDueTogether would see 4 loops wake up at different instants with time.NewTicker.

--- a/internal/daemon/composer/reload.go
+++ b/internal/daemon/composer/reload.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pomelotiller/internal/config/loader"
+	"pomelotiller/internal/fleet/ticker"
 )
 
 // reloadPeriod is the time between two looks at the settings file, which may
@@ -25,7 +26,7 @@
 	if err != nil {
 		d.log("msg", "settings not readable", "path", d.cfg.Path, "error", err)
 	}
-	tick := time.NewTicker(reloadPeriod)
+	tick := ticker.NewTimer(reloadPeriod)
 	defer tick.Stop()
 	for {
 		signalled := false
@@ -35,6 +36,7 @@
 		case <-d.cfg.Hangups:
 			signalled = true
 		case <-tick.C:
+			tick.Next()
 		}
 		text, err := os.ReadFile(d.cfg.Path)
 		if err != nil {
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -17,6 +17,8 @@
 	"github.com/quic-go/quic-go"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/singleflight"
+
+	"pomelotiller/internal/fleet/ticker"
 )
 
 const (
@@ -134,14 +136,8 @@
 
 // follow takes in changes of the key material until ctx ends.
 func (m *Messenger) follow(ctx context.Context) {
-	tick := time.NewTicker(reloadPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	// It ends with ctx alone.
+	_ = ticker.Every(ctx, reloadPeriod, func(context.Context) {
 		changed, err := m.material.reload()
 		if err != nil && m.failed != nil {
 			m.failed(err)
@@ -149,7 +145,7 @@
 		if changed {
 			m.dropStrangers()
 		}
-	}
+	})
 }
 
 // dropStrangers closes the connections of peers that the key material in force
--- a/internal/fleet/syncer/syncer.go
+++ b/internal/fleet/syncer/syncer.go
@@ -115,7 +115,12 @@
 	relist := true
 	for ctx.Err() == nil {
 		if s.Loaded() && !s.cfg.Peers.Follows(s.cfg.Prefix, s.cfg.Fresh) {
-			ticker.Pause(ctx, turnPeriod)
+			turn := ticker.NewTimer(turnPeriod)
+			select {
+			case <-ctx.Done():
+			case <-turn.C:
+			}
+			turn.Stop()
 			continue
 		}
 		err := s.follow(ctx, relist)
@@ -136,13 +141,14 @@
 
 // RunPull takes from other daemons what the store does not tell, until ctx ends.
 func (s *Syncer) RunPull(ctx context.Context) error {
-	tick := time.NewTicker(pullPeriod)
+	tick := ticker.NewTimer(pullPeriod)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+			tick.Next()
 		case <-s.wake:
 		}
 		s.pull(ctx)
--- a/internal/fleet/ticker/ticker_test.go
+++ b/internal/fleet/ticker/ticker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,3 +25,30 @@
 		}
 	})
 }
+
+// Works that start at different times wake the process up together.
+func TestWorksFallDueTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		var mu sync.Mutex
+		instants := make(map[time.Time]int)
+		for _, period := range []time.Duration{Grid, Grid, 2 * Grid, 5 * Grid} {
+			go func() {
+				_ = Every(ctx, period, func(context.Context) {
+					mu.Lock()
+					defer mu.Unlock()
+					instants[time.Now()]++
+				})
+			}()
+			time.Sleep(37 * time.Millisecond)
+		}
+		<-ctx.Done()
+		mu.Lock()
+		defer mu.Unlock()
+		want := int(10 * time.Second / Grid)
+		if got := len(instants); got > want {
+			t.Errorf("got %d instants at which the process wakes up in 10 s, want %d at most", got, want)
+		}
+	})
+}
