Large fleets: sums through hubs in place of every status to every daemon

Now, above 13 daemons: - what a daemon has in flight and let through goes to its hub each 400 ms; hubs exchange sums of their own daemons, and tell each daemon the sums of all. Each daemon counts once: a hub adds what moved since its last message, a daemon takes out its own part by the number of the message that the sums hold, and what a former hub was not seen to have told is told to the next. While a daemon has no hub it goes on at the pace that it knew. - usage and demands go to the two daemons that the duty falls to, whole and by daemon. - a status that tells nothing new is passed on as a heartbeat of 40 bytes. - news (a revision of the store, a daemon that comes, goes or stops) are passed on at once by hubs; one hub of each failure domain follows the store, and daemons take changes from their own hub, to which a connection is there. - addresses from the store are not all contacted at the start. - a daemon says that it is a hub: two hubs that each missed daemons of the other did not take one another for hubs after a cut, for good (seen in 1 of 25 plays of TestDomainIsCutOffInLargeFleet once periods changed; possible before).

Weighed: smaller rows from each to each (still 40 to 50 KB/s at 195), a record of the store for membership (calls), owners of endpoints.

Checks: TestSumsAreKnownInLargeFleet and TestFirstStatusHasAllSums looked into statuses of large fleets, which no longer hold sums. TestSumsOfLargeFleet asks for exact sums and loads at all 60 daemons, TestSumsBeforeADaemonJoined that a late one is told of nothing spent before. TestSumsWhenHubsGo, TestSumsWhileADaemonHasNoHub and TestReportsGoToTheDuty are new.

Known limits: a daemon that becomes a hub may miss up to a second of what others let through, and so do those attached to it. In a fleet of two releases that speak different bundles daemons hear each other's statuses, not their sums.

--- a/internal/control/roller/roller.go
+++ b/internal/control/roller/roller.go
@@ -195,6 +195,10 @@
 func (r *Roller) Hear(name string, trials []sharer.Trial, moves []sharer.Move) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if len(trials) == 0 && len(moves) == 0 {
+		delete(r.others, name)
+		return
+	}
 	counts := make(map[subject]tally, len(trials))
 	for _, t := range trials {
 		counts[subject{t.Service, t.Release}] = tally{t.Sent, t.Good, t.Bad, t.Slow}
--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -116,6 +117,9 @@
 	carrier    *carrier.Carrier
 	server     *server
 	stopping   atomic.Bool
+	// parts is in how many parts the sums of others came last; sums guards it.
+	sums  sync.Mutex
+	parts int
 	// joined says that the addresses of other daemons were read.
 	joined atomic.Bool
 }
@@ -173,7 +177,7 @@
 	d.tracker = tracker.New(tracker.Config{Changed: d.endpointsChanged, Logger: d.logger})
 	d.sharer = sharer.New(sharer.Config{
 		Name: s.Name, Domain: s.Domain, Address: s.PeersAddress(), Boot: d.boot, Size: s.Edge.Host.Size(),
-		Fill: d.fill, Heard: d.heard, Lost: d.lost, Logger: d.logger, Registry: d.registry,
+		Fill: d.fill, Heard: d.heard, Lost: d.lost, Summed: d.summed, Reported: d.reported, Duty: platformDuty, Logger: d.logger, Registry: d.registry,
 	})
 	base := syncer.Config{Store: a.Store, Peers: d.sharer, Fresh: s.Edge.Watch.Std() + freshMargin, Logger: d.logger, Registry: d.registry}
 	operator, endpoints := base, base
--- a/internal/daemon/composer/knowledge.go
+++ b/internal/daemon/composer/knowledge.go
@@ -15,7 +15,7 @@
 
 const (
 	slowPeriod = 500 * time.Millisecond
-	fastPeriod = 50 * time.Millisecond
+	fastPeriod = 100 * time.Millisecond
 	// reachPeriod is the time between two looks at whether the store answers,
 	// and reachKey what is asked for while it does not.
 	reachPeriod = 500 * time.Millisecond
@@ -62,7 +62,6 @@
 	d.allowances.Configure(c.Organisations, time.Now())
 	d.log("msg", "configuration in force", "version", c.Version, "revision", e.Revision, "routes", len(c.Routes), "services", len(c.Services),
 		"organisations", len(c.Organisations))
-	d.sharer.Hasten()
 }
 
 func (d *Daemon) applyEndpoints(changed []storer.Entry, lost time.Time) {
@@ -73,10 +72,7 @@
 	d.tracker.Apply(changes, lost)
 }
 
-func (d *Daemon) endpointsChanged() {
-	d.chooser.Forget(d.tracker.Load().All)
-	d.sharer.Hasten()
-}
+func (d *Daemon) endpointsChanged() { d.chooser.Forget(d.tracker.Load().All) }
 
 // releases returns the releases of a service that have endpoints.
 func (d *Daemon) releases(service string) []string {
--- a/internal/daemon/composer/peers.go
+++ b/internal/daemon/composer/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"net"
+	"strconv"
 	"time"
 
 	"pomelotiller/internal/fleet/issuer"
@@ -34,25 +35,59 @@
 
 // heard takes in a status of another daemon.
 func (d *Daemon) heard(old, current *sharer.Peer) {
-	d.chooser.SetPeer(current.Name, current.Loads)
-	d.counter.Hear(current.Name, current.Boot, current.Windows)
-	d.gauge.Hear(current.Name, current.Boot, current.Demands, old != nil && old.Silent)
+	if current.Summed {
+		if old != nil && !old.Summed {
+			d.chooser.SetPeer(current.Name, nil)
+		}
+	} else {
+		d.chooser.SetPeer(current.Name, current.Loads)
+		d.counter.Hear(current.Name, current.Boot, current.Windows)
+		d.gauge.Hear(current.Name, current.Boot, current.Demands, old != nil && old.Silent)
+		d.heardSpent(old, current)
+	}
 	d.roller.Hear(current.Name, current.Trials, current.Moves)
-	d.heardSpent(old, current)
 	if old == nil || !maps.Equal(old.Revisions, current.Revisions) {
 		d.operator.Wake()
 		d.endpoints.Wake()
 	}
 }
 
+// sumsName is the name under which the chooser keeps a part of the sums of others.
+func sumsName(part int) string { return "sums " + strconv.Itoa(part) }
+
+// summed takes in what the other daemons of a large fleet do.
+func (d *Daemon) summed(sums sharer.Sums) {
+	d.sums.Lock()
+	defer d.sums.Unlock()
+	for part := sums.Parts; part < d.parts; part++ {
+		d.chooser.SetPeer(sumsName(part), nil)
+	}
+	d.parts = sums.Parts
+	if sums.Parts == 0 {
+		return
+	}
+	d.chooser.SetPeer(sumsName(sums.Part), sums.Loads)
+	now := time.Now()
+	for _, s := range sums.Spent {
+		d.allowances.Spend(s.Organisation, s.Total, 0, now)
+	}
+}
+
+// reported takes in what another daemon of a large fleet tells those that may
+// have the duty.
+func (d *Daemon) reported(r sharer.Report) {
+	d.counter.Hear(r.Name, r.Boot, r.Windows)
+	d.gauge.Hear(r.Name, r.Boot, r.Demands, r.Gap)
+}
+
 // lost takes a daemon that is silent out of what is counted.
 func (d *Daemon) lost(name string) { d.chooser.SetPeer(name, nil) }
 
 // heardSpent takes from the allowances what another daemon let through since
-// its last status. What it let through before this daemon knew it does not
-// count.
+// its last status. What it let through before this daemon knew it, or told in
+// sums, does not count.
 func (d *Daemon) heardSpent(old, current *sharer.Peer) {
-	if old == nil {
+	if old == nil || old.Summed {
 		return
 	}
 	var quiet time.Duration
@@ -162,6 +197,7 @@
 	key, self := memberPrefix+d.cfg.Settings.Name, d.cfg.Settings.PeersAddress()
 	var expect uint64
 	registered := false
+	var others []string
 	for _, e := range p.Entries {
 		var addr string
 		if err := json.Unmarshal(e.Value, &addr); err != nil {
@@ -172,8 +208,9 @@
 			expect, registered = e.Revision, addr == self
 			continue
 		}
-		d.sharer.Contact(addr)
+		others = append(others, addr)
 	}
+	d.sharer.ContactLater(others...)
 	if registered {
 		return nil
 	}
--- /dev/null
+++ b/internal/fleet/sharer/ledger.go
@@ -0,0 +1,358 @@
+package sharer
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// sumsSilence is how long what a daemon or a hub has in flight counts after
+	// its latest message.
+	sumsSilence = 5 * hubPeriod
+	// firstWorks is how many messages of one attachment count from nothing, so
+	// that one of them may be lost.
+	firstWorks = 3
+	// keptWorks is the number of own messages whose content is remembered, until
+	// a hub's sums say which of them they hold.
+	keptWorks = 16
+)
+
+// Sums is what the other daemons of a large fleet have in flight and let
+// through.
+type Sums struct {
+	// Loads replace the former ones of the same part, of Parts in all.
+	Part, Parts int
+	Loads       []Load
+	// Spent is what was let through since the sums before.
+	Spent []Spent
+}
+
+// work is what one daemon has in flight, and what it let through since it is
+// attached to its hub.
+type work struct {
+	_    struct{} `cbor:",toarray"`
+	Boot int64
+	// Turn counts the daemon's attachments to a hub, Number its messages of one
+	// attachment.
+	Turn, Number uint64
+	Loads        []Load
+	Spent        []Spent
+}
+
+// ledger adds up what the daemons of a large fleet have in flight and let
+// through, each daemon once. It is kept by one goroutine at a time.
+type ledger struct {
+	// works holds the latest work of each attached daemon.
+	works map[string]entry
+	// hubs holds the latest sums of each other hub.
+	hubs map[string]*account
+	// near is what this daemon and those attached to it let through, and fleet
+	// what all did, as far as it was told, since this daemon started.
+	near, fleet map[string]float64
+	// own is what this daemon itself let through, and loads what it has in
+	// flight.
+	own   map[string]float64
+	loads []Load
+	// news is what others let through and this daemon has not yet counted.
+	news map[string]float64
+
+	turn, number uint64
+	// base is what this daemon let through before its present attachment.
+	base map[string]float64
+	// sent holds the latest works by number, and held is the number of the
+	// latest one that the hub's sums hold.
+	sent map[uint64]work
+	held uint64
+	// paces is what others let through a second, as of the latest sums from a
+	// hub.
+	paces  map[string]*pace
+	latest time.Time
+}
+
+// pace is a rate that is learned from sums.
+type pace struct {
+	perSecond float64
+	at        time.Time
+}
+
+// paceWeight is the weight of the latest sums in a pace.
+const paceWeight = 0.3
+
+// note takes in what was let through until now.
+func (p *pace) note(d float64, now time.Time) {
+	if took := now.Sub(p.at).Seconds(); took > 0 {
+		p.perSecond += paceWeight * (d/took - p.perSecond)
+		p.at = now
+	}
+}
+
+// entry is the latest work of an attached daemon.
+type entry struct {
+	work
+	at    time.Time
+	spent map[string]float64
+}
+
+// account is what is known of the sums of one hub.
+type account struct {
+	boot  int64
+	began time.Time
+	at    time.Time
+	spent map[string]float64
+	// own is the part of spent that is this daemon's.
+	own map[string]float64
+	// loads are those in flight, by part.
+	parts int
+	loads map[int][]Load
+}
+
+func newLedger() ledger {
+	return ledger{
+		works: make(map[string]entry), hubs: make(map[string]*account), near: make(map[string]float64), fleet: make(map[string]float64),
+		own: make(map[string]float64), news: make(map[string]float64), base: make(map[string]float64), sent: make(map[uint64]work),
+		paces: make(map[string]*pace),
+	}
+}
+
+// setOwn takes in what this daemon itself has in flight and let through since
+// its start.
+func (l *ledger) setOwn(w Work) {
+	l.loads = w.Loads
+	for _, s := range w.Spent {
+		l.near[s.Organisation] += s.Total - l.own[s.Organisation]
+		l.fleet[s.Organisation] += s.Total - l.own[s.Organisation]
+		l.own[s.Organisation] = s.Total
+	}
+}
+
+// attach begins a new attachment to a hub, or ends one. What was known of hubs
+// does not go on from there. What the former hub was not seen to have told others
+// is told to the next one.
+func (l *ledger) attach() {
+	clear(l.hubs)
+	for _, s := range l.sent[l.held].Spent {
+		l.base[s.Organisation] += s.Total
+	}
+	l.turn++
+	l.number, l.held = 0, 0
+	clear(l.sent)
+}
+
+// ownWork returns the daemon's own work for its hub.
+func (l *ledger) ownWork(boot int64) work {
+	l.number++
+	w := work{Boot: boot, Turn: l.turn, Number: l.number, Loads: l.loads}
+	for _, org := range slices.Sorted(maps.Keys(l.own)) {
+		if d := l.own[org] - l.base[org]; d != 0 {
+			w.Spent = append(w.Spent, Spent{Organisation: org, Total: d})
+		}
+	}
+	l.sent[l.number] = w
+	delete(l.sent, l.number-keptWorks)
+	return w
+}
+
+// heard takes in the work of an attached daemon. What it let through before this
+// hub knew of it was counted by another.
+func (l *ledger) heard(name string, w work, now time.Time) {
+	old, known := l.works[name]
+	same := known && old.Boot == w.Boot && old.Turn == w.Turn
+	if same && w.Number <= old.Number {
+		return
+	}
+	e := entry{work: w, at: now, spent: make(map[string]float64, len(w.Spent))}
+	for _, s := range w.Spent {
+		e.spent[s.Organisation] = s.Total
+		if same || w.Number <= firstWorks {
+			d := s.Total
+			if same {
+				d -= old.spent[s.Organisation]
+			}
+			l.near[s.Organisation] += d
+			l.count(s.Organisation, d)
+		}
+	}
+	l.works[name] = e
+}
+
+// count adds what another daemon let through.
+func (l *ledger) count(org string, d float64) {
+	l.fleet[org] += d
+	l.news[org] += d
+}
+
+// told takes in a part of the sums of another hub. What a hub that was silent
+// counted meanwhile was left to it and is not counted here.
+func (l *ledger) told(from string, d digest, now time.Time) {
+	a := l.account(from, d.Boot, now)
+	for _, s := range d.Spent {
+		if delta, ok := a.advance(s, 0, now); ok {
+			l.count(s.Organisation, delta)
+		}
+	}
+	a.setLoads(d)
+}
+
+// account returns what is known of a hub's sums; nothing at first, and again
+// after a silence or a new start.
+func (l *ledger) account(from string, boot int64, now time.Time) *account {
+	a := l.hubs[from]
+	if a == nil || a.boot != boot || now.Sub(a.at) > sumsSilence {
+		a = &account{boot: boot, began: now, spent: make(map[string]float64), own: make(map[string]float64), loads: make(map[int][]Load)}
+		l.hubs[from] = a
+	}
+	a.at = now
+	return a
+}
+
+func (a *account) setLoads(d digest) {
+	if a.parts != d.Parts {
+		clear(a.loads)
+		a.parts = d.Parts
+	}
+	a.loads[d.Part] = d.Loads
+}
+
+// follow takes in a part of the sums of all daemons from the hub that this one
+// is attached to. Its own part in them, as of the work that they hold, is taken
+// out.
+func (l *ledger) follow(from string, d digest, now time.Time) Sums {
+	out := Sums{Part: d.Part, Parts: d.Parts}
+	a := l.account(from, d.Boot, now)
+	if a.began.Equal(now) {
+		out.Spent = l.guess(now)
+	}
+	l.latest = now
+	l.held = max(l.held, d.Held)
+	mine := l.sent[d.Held]
+	out.Loads = without(d.Loads, mine.Loads)
+	own := make(map[string]float64, len(mine.Spent))
+	for _, s := range mine.Spent {
+		own[s.Organisation] = s.Total
+	}
+	for _, s := range d.Spent {
+		held, ok := own[s.Organisation]
+		if !ok {
+			held = a.own[s.Organisation]
+		}
+		if delta, ok := a.advance(s, held, now); ok {
+			l.pace(s.Organisation, now).note(delta, now)
+			out.Spent = append(out.Spent, Spent{Organisation: s.Organisation, Total: delta})
+		}
+	}
+	return out
+}
+
+// guess returns what others let through while this daemon had no hub, at the
+// pace known before.
+func (l *ledger) guess(now time.Time) []Spent {
+	var out []Spent
+	if l.latest.IsZero() {
+		return nil
+	}
+	for _, org := range slices.Sorted(maps.Keys(l.paces)) {
+		p := l.paces[org]
+		if d := p.perSecond * now.Sub(l.latest).Seconds(); d > 0 {
+			out = append(out, Spent{Organisation: org, Total: d})
+		}
+		p.at = now
+	}
+	return out
+}
+
+// becomeHub goes on at the pace known before until the sums of the other hubs
+// are known, which takes about two of their messages.
+func (l *ledger) becomeHub(now time.Time) {
+	for _, s := range l.guess(now.Add(2 * hubPeriod)) {
+		l.count(s.Organisation, s.Total)
+	}
+}
+
+func (l *ledger) pace(org string, now time.Time) *pace {
+	p := l.paces[org]
+	if p == nil {
+		p = &pace{at: now.Add(-hubPeriod)}
+		l.paces[org] = p
+	}
+	return p
+}
+
+// advance takes in a sum of which a part is this daemon's own, and returns by how
+// much others moved it, unless it is the first that is known.
+func (a *account) advance(s Spent, own float64, now time.Time) (float64, bool) {
+	last, known := a.spent[s.Organisation]
+	d := s.Total - last - (own - a.own[s.Organisation])
+	a.spent[s.Organisation], a.own[s.Organisation] = s.Total, own
+	return d, known || now.Sub(a.began) >= hubPeriod
+}
+
+// without returns loads less a part of them.
+func without(loads, part []Load) []Load {
+	out := slices.Clone(loads)
+	for _, p := range part {
+		for i := range out {
+			if out[i].Endpoint == p.Endpoint {
+				out[i].Running = max(out[i].Running-p.Running, 0)
+				out[i].Prompt = max(out[i].Prompt-p.Prompt, 0)
+			}
+		}
+	}
+	return out
+}
+
+// expire forgets what is in flight at daemons and hubs that are silent.
+func (l *ledger) expire(now time.Time) {
+	maps.DeleteFunc(l.works, func(_ string, e entry) bool { return now.Sub(e.at) > sumsSilence })
+	maps.DeleteFunc(l.hubs, func(_ string, a *account) bool { return now.Sub(a.at) > sumsSilence })
+}
+
+// nearLoads adds up what this daemon and those attached to it have in flight.
+func (l *ledger) nearLoads() map[string]Load {
+	out := make(map[string]Load)
+	add(out, l.loads)
+	for _, e := range l.works {
+		add(out, e.Loads)
+	}
+	return out
+}
+
+// fleetLoads adds up what all have in flight.
+func (l *ledger) fleetLoads() map[string]Load {
+	out := l.nearLoads()
+	for _, a := range l.hubs {
+		for _, loads := range a.loads {
+			add(out, loads)
+		}
+	}
+	return out
+}
+
+func add(sums map[string]Load, loads []Load) {
+	for _, l := range loads {
+		s := sums[l.Endpoint]
+		sums[l.Endpoint] = Load{Endpoint: l.Endpoint, Running: s.Running + l.Running, Prompt: s.Prompt + l.Prompt}
+	}
+}
+
+// others returns what the other daemons have in flight, and what they let
+// through since the last time.
+func (l *ledger) others() Sums {
+	out := Sums{Parts: 1, Loads: without(sorted(l.fleetLoads()), l.loads)}
+	for org, d := range l.news {
+		if d != 0 {
+			out.Spent = append(out.Spent, Spent{Organisation: org, Total: d})
+		}
+	}
+	clear(l.news)
+	return out
+}
+
+// sorted returns loads by endpoint.
+func sorted(loads map[string]Load) []Load {
+	out := make([]Load, 0, len(loads))
+	for _, id := range slices.Sorted(maps.Keys(loads)) {
+		out = append(out, loads[id])
+	}
+	return out
+}
--- a/internal/fleet/sharer/members.go
+++ b/internal/fleet/sharer/members.go
@@ -10,6 +10,9 @@
 	"pomelotiller/internal/fleet/viewer"
 )
 
+// hubPullTime is how long a daemon leaves it to its hub to get news first.
+const hubPullTime = 300 * time.Millisecond
+
 // Peers returns the other daemons, sorted by name.
 func (s *Sharer) Peers() []Peer {
 	s.mu.Lock()
@@ -66,10 +69,21 @@
 
 // Members returns this daemon and the others in the form that duties are dealt
 // out by. Those that the store does not answer are passed over while it answers
-// any.
+// any. The list must not be changed.
 func (s *Sharer) Members() []viewer.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.membersLocked()
+}
+
+func (s *Sharer) membersLocked() []viewer.Member {
+	if s.listed == nil {
+		s.listed = s.list()
+	}
+	return s.listed
+}
+
+func (s *Sharer) list() []viewer.Member {
 	reached := !s.away
 	for _, p := range s.peers {
 		reached = reached || !p.Away && !p.Silent && !p.Stopping
@@ -95,6 +109,19 @@
 func (s *Sharer) Ahead(part string, revision uint64) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	latest := s.newest[part]
+	if latest.revision <= revision {
+		return ""
+	}
+	if hub := s.peers[s.overlay.hub]; hub != nil && !hub.Silent {
+		// The connection to it is there, and it will have the news soon.
+		if hub.Revisions[part] > revision {
+			return hub.Address
+		}
+		if time.Since(latest.at) < hubPullTime {
+			return ""
+		}
+	}
 	best := revision
 	var near, all []string
 	for _, p := range s.peers {
@@ -131,14 +158,37 @@
 // part of the store; the others do so only while they hear of nobody whom the
 // store answers.
 func (s *Sharer) Follows(part string, within time.Duration) bool {
-	members := s.Members()
-	near := slices.DeleteFunc(slices.Clone(members), func(m viewer.Member) bool { return m.Domain != s.cfg.Domain })
-	if ranker.First(part, near) == s.cfg.Name {
+	if s.turn(part) == s.cfg.Name {
 		return true
 	}
 	return !s.Answers(part, within)
 }
 
+// turn returns the daemon of the own failure domain that follows a part of the
+// store: one of its hubs, if there are any that can.
+func (s *Sharer) turn(part string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if name, ok := s.turns[part]; ok {
+		return name
+	}
+	var near, hubs []viewer.Member
+	for _, m := range s.membersLocked() {
+		if m.Domain != s.cfg.Domain || m.State != viewer.StateAlive {
+			continue
+		}
+		near = append(near, m)
+		if slices.Contains(s.overlay.hubs[m.Domain], m.Name) {
+			hubs = append(hubs, m)
+		}
+	}
+	if len(hubs) > 0 {
+		near = hubs
+	}
+	s.turns[part] = ranker.First(part, near)
+	return s.turns[part]
+}
+
 // Answers implements syncer.Peers.
 func (s *Sharer) Answers(part string, within time.Duration) bool {
 	within += statusDelays * s.Period()
--- a/internal/fleet/sharer/overlay.go
+++ b/internal/fleet/sharer/overlay.go
@@ -11,12 +11,13 @@
 )
 
 const (
-	// hubPeriod is the time between two bundles of a hub. It adds to the age of
-	// a status twice on its way through two hubs.
-	hubPeriod = 200 * time.Millisecond
+	// hubPeriod is the time between two bundles of a hub, and between two
+	// messages of a daemon to its hub. It adds to the age of a status on its way
+	// through two hubs; news do not wait for it.
+	hubPeriod = 400 * time.Millisecond
 	// hubSilence is how long a daemon waits for the bundles of its hub before it
 	// turns to another.
-	hubSilence = 5 * hubPeriod
+	hubSilence = 3 * hubPeriod
 	// shunTime is how long a hub that was silent is not turned to again.
 	shunTime = 5 * time.Second
 	// smallHub is the size, as a share of the largest host of the failure domain,
@@ -77,9 +78,10 @@
 	return b.From == st.Name && (b.Wants || !slices.Contains(o.hubs[st.Domain], st.Name))
 }
 
-// arrange works out who the hubs are and which one this daemon turns to.
-func (s *Sharer) arrange(now time.Time) {
+// arrange works out who the hubs are.
+func (s *Sharer) arrange() {
 	o := &s.overlay
+	clear(s.turns)
 	domains := map[string][]*Peer{s.cfg.Domain: {s.self()}}
 	n := 1
 	for _, p := range s.peers {
@@ -100,7 +102,6 @@
 		o.hubs[d] = largest(members, (len(members)+group-1)/group)
 	}
 	o.isHub = slices.Contains(o.hubs[s.cfg.Domain], s.cfg.Name)
-	s.choose(now)
 }
 
 // self returns this daemon in the form of a peer.
@@ -127,7 +128,7 @@
 // and a hub that is silent is left for another.
 func (s *Sharer) choose(now time.Time) {
 	o := &s.overlay
-	if o.isHub {
+	if o.isHub || !o.large {
 		o.hub = ""
 		return
 	}
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -19,6 +19,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pomelotiller/internal/fleet/messenger"
+	"pomelotiller/internal/fleet/ticker"
+	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/observe/logger"
 )
 
@@ -36,6 +38,10 @@
 	// serve on its own.
 	forgetTime  = 30 * time.Second
 	sendTimeout = 500 * time.Millisecond
+	// hastyGap is the shortest time between two messages with news.
+	hastyGap = 50 * time.Millisecond
+	// countPeriod is the longest time between two counts of the members.
+	countPeriod = time.Second
 	// retryPeriod is the time between tries at an address that does not answer.
 	// It doubles up to lastRetryPeriod where none ever did.
 	retryPeriod     = time.Second
@@ -73,7 +79,13 @@
 	// Heard is called with each status that came from another daemon.
 	Heard func(old, current *Peer)
 	// Lost is called with the name of each daemon that turns silent.
-	Lost     func(name string)
+	Lost func(name string)
+	// Summed is called with parts of what the others of a large fleet do; sums
+	// of no parts say that nothing is known.
+	Summed func(Sums)
+	// Reported is called with reports where this daemon may have Duty.
+	Reported func(Report)
+	Duty     string
 	Logger   log.Logger
 	Registry metrics.Registry
 }
@@ -93,6 +105,10 @@
 	// came.
 	encoded cbor.RawMessage
 	arrival uint64
+	// rowHeard is when that status came; heartbeats came since if Heard is
+	// later. same says that the latest one told nothing new.
+	rowHeard time.Time
+	same     bool
 	// direct says that other hubs get it from this daemon alone.
 	direct bool
 }
@@ -106,6 +122,12 @@
 	failing bool
 }
 
+// news is a revision of a part of the store, and when it was first heard of.
+type news struct {
+	revision uint64
+	at       time.Time
+}
+
 // Sharer spreads the daemon's status and keeps those of others.
 type Sharer struct {
 	cfg Config
@@ -117,7 +139,27 @@
 	peers     map[string]*Peer
 	contacts  map[string]*contact
 	overlay   overlay
-	// members and silent are what Count returns.
+	ledger    ledger
+	// summed is when the sums last went out.
+	summed time.Time
+	// reports are those to be passed on, pending those for this daemon itself,
+	// and reported is when the latest of each daemon came.
+	reports  map[string]cbor.RawMessage
+	pending  []cbor.RawMessage
+	reported map[string]time.Time
+	// followed is when sums of the own hub last came; zero if there are none.
+	followed time.Time
+	// listed is what Members returns; nil where it must be worked out anew.
+	listed []viewer.Member
+	// turns says whose turn it is to follow each part of the store, as long as
+	// members do not change.
+	turns map[string]string
+	// changed says that members came, went or changed since the last look.
+	changed bool
+	// newest is the latest revision of each part that any daemon knows.
+	newest map[string]news
+	// members and silent are what Count returns, as of counted.
+	counted         time.Time
 	members, silent int
 	revisions       map[string]uint64
 	answered        map[string]time.Time
@@ -129,7 +171,8 @@
 // New returns a sharer that knows no peers.
 func New(cfg Config) *Sharer {
 	return &Sharer{
-		cfg: cfg, peers: make(map[string]*Peer), contacts: make(map[string]*contact), overlay: newOverlay(), members: 1,
+		cfg: cfg, peers: make(map[string]*Peer), contacts: make(map[string]*contact), overlay: newOverlay(), ledger: newLedger(), members: 1,
+		reports: make(map[string]cbor.RawMessage), reported: make(map[string]time.Time), newest: make(map[string]news), turns: make(map[string]string),
 		revisions: make(map[string]uint64), answered: make(map[string]time.Time),
 		soon: make(chan struct{}, 1),
 	}
@@ -151,18 +194,38 @@
 func (s *Sharer) Contact(addresses ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.contact(time.Time{}, addresses)
+}
+
+// ContactLater adds addresses of which most will be heard of through others; the
+// rest are tried after a while, if the fleet is large.
+func (s *Sharer) ContactLater(addresses ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var tried time.Time
+	if len(addresses) > baseSize {
+		tried = time.Now()
+	}
+	s.contact(tried, addresses)
+}
+
+func (s *Sharer) contact(tried time.Time, addresses []string) {
+	added := false
 	for _, a := range addresses {
 		if _, ok := s.contacts[a]; !ok && a != s.cfg.Address {
-			s.contacts[a] = &contact{since: time.Now(), pause: retryPeriod}
-			s.recount()
+			s.contacts[a] = &contact{since: time.Now(), tried: tried, pause: retryPeriod}
+			added = true
 		}
 	}
+	if added {
+		s.recount()
+	}
 }
 
 // Run sends statuses until ctx ends.
 func (s *Sharer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		t := time.NewTimer(s.pause())
+		t := ticker.NewTimer(s.pause())
 		hasty := false
 		select {
 		case <-ctx.Done():
@@ -172,6 +235,10 @@
 		}
 		t.Stop()
 		s.tick(ctx, hasty)
+		if hasty {
+			// News that come close together go out together.
+			ticker.Pause(ctx, hastyGap)
+		}
 	}
 	return nil
 }
@@ -191,6 +258,10 @@
 func (s *Sharer) pause() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.pauseLocked()
+}
+
+func (s *Sharer) pauseLocked() time.Duration {
 	if s.overlay.large {
 		return hubPeriod
 	}
@@ -205,10 +276,18 @@
 	}
 }
 
+// hastenHub passes on news at once where this daemon is a hub.
+func (s *Sharer) hastenHub() {
+	if s.overlay.isHub {
+		s.Hasten()
+	}
+}
+
 // Stop tells the others that this daemon is about to end.
 func (s *Sharer) Stop() {
 	s.mu.Lock()
 	s.stopping = true
+	s.noteChange()
 	s.mu.Unlock()
 	s.Hasten()
 }
@@ -219,6 +298,9 @@
 	s.mu.Lock()
 	changed := s.away != away
 	s.away = away
+	if changed {
+		s.noteChange()
+	}
 	s.mu.Unlock()
 	if changed {
 		s.log("msg", "store reach changed", "away", away)
@@ -230,19 +312,62 @@
 func (s *Sharer) tick(ctx context.Context, hasty bool) {
 	s.age()
 	now := time.Now()
+	p, sums := s.plan(now, hasty)
+	if sums != nil {
+		s.cfg.Summed(*sums)
+	}
+	for _, out := range s.due(now, s.own(now, p)) {
+		go s.send(ctx, out)
+	}
 	s.mu.Lock()
-	s.recount()
-	s.arrange(now)
-	large := s.overlay.large
-	ownDue := hasty || now.Sub(s.sent) >= s.period()-hubPeriod/2
+	pending := s.pending
+	s.pending = nil
 	s.mu.Unlock()
-	var own cbor.RawMessage
-	if ownDue {
-		own = s.own(now, large)
+	s.takeReports(pending, now)
+}
+
+// plan works out what is due, and what became of the sums of others.
+func (s *Sharer) plan(now time.Time, hasty bool) (plan, *Sums) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	was, wasHub, hub := s.overlay.large, s.overlay.isHub, s.overlay.hub
+	if s.changed || now.Sub(s.counted) >= countPeriod {
+		s.changed, s.counted = false, now
+		s.recount()
+		s.arrange()
 	}
-	for _, out := range s.due(now, own) {
-		go s.send(ctx, out)
+	s.choose(now)
+	p := plan{large: s.overlay.large, row: hasty || now.Sub(s.sent) >= s.period()-s.pauseLocked()/2}
+	if !p.large {
+		if was {
+			return p, &Sums{}
+		}
+		return p, nil
+	}
+	if s.overlay.hub != hub {
+		s.ledger.attach()
+		// The new hub must know of this daemon before others miss it.
+		hasty = true
 	}
+	if s.overlay.isHub && !wasHub {
+		s.ledger.becomeHub(now)
+	}
+	p.row = p.row || hasty
+	p.sums = now.Sub(s.summed) >= hubPeriod*3/4
+	if !p.sums {
+		return p, nil
+	}
+	s.summed = now
+	s.ledger.expire(now)
+	if s.overlay.isHub {
+		sums := s.ledger.others()
+		return p, &sums
+	}
+	if !s.followed.IsZero() && now.Sub(s.followed) > sumsSilence {
+		s.followed = time.Time{}
+		return p, &Sums{}
+	}
+	return p, nil
 }
 
 // retries returns the addresses that are not heard and that are due for another
@@ -281,6 +406,7 @@
 			c := *p
 			c.Silent = true
 			s.peers[name] = &c
+			s.noteChange()
 			lost = append(lost, name)
 			s.log("msg", "peer lost", "peer", name, "address", p.Address, "quiet", quiet)
 		}
@@ -296,6 +422,8 @@
 
 func (s *Sharer) forget(p *Peer, quiet time.Duration) {
 	delete(s.peers, p.Name)
+	delete(s.reported, p.Name)
+	s.noteChange()
 	delete(s.overlay.bundles, p.Name)
 	delete(s.overlay.shunned, p.Name)
 	delete(s.contacts, p.Address)
@@ -305,12 +433,41 @@
 	s.log("msg", "peer forgotten", "peer", p.Name, "quiet", quiet, "stopping", p.Stopping)
 }
 
-// Revised implements syncer.Peers.
+// noteChange has what follows from the members worked out anew.
+func (s *Sharer) noteChange() {
+	s.listed, s.changed = nil, true
+	clear(s.turns)
+}
+
+// Revised implements syncer.Peers. Where statuses go through hubs, a daemon that
+// got the revision from its hub has no news for others.
 func (s *Sharer) Revised(part string, revision uint64) {
 	s.mu.Lock()
+	fresh := s.noteNews(part, revision) || !s.overlay.large || s.overlay.isHub
 	s.revisions[part] = max(s.revisions[part], revision)
 	s.mu.Unlock()
-	s.Hasten()
+	if fresh {
+		s.Hasten()
+	}
+}
+
+// noteRevisions takes in what another daemon knows. A hub passes on news at
+// once.
+func (s *Sharer) noteRevisions(revisions map[string]uint64) {
+	for part, r := range revisions {
+		if s.noteNews(part, r) {
+			s.hastenHub()
+		}
+	}
+}
+
+// noteNews reports whether a revision is the latest that any daemon knows.
+func (s *Sharer) noteNews(part string, revision uint64) bool {
+	if revision <= s.newest[part].revision {
+		return false
+	}
+	s.newest[part] = news{revision, time.Now()}
+	return true
 }
 
 // Call implements syncer.Peers.
--- a/internal/fleet/sharer/status.go
+++ b/internal/fleet/sharer/status.go
@@ -33,6 +33,28 @@
 	Clock int64 `cbor:"16,keyasint,omitempty"`
 	// Moves are the moves between releases as this daemon sees them.
 	Moves []Move `cbor:"14,keyasint,omitempty"`
+	// Summed says that the daemon's work reaches others in the sums of its hub,
+	// and its report those that have the duty.
+	Summed bool `cbor:"19,keyasint,omitempty"`
+	// Hub says that the daemon takes itself for a hub. Who is one follows from
+	// the members heard, which differ between daemons after a cut.
+	Hub bool `cbor:"20,keyasint,omitempty"`
+}
+
+// Work is what a daemon has in flight and what it let through since its start.
+type Work struct {
+	Loads []Load
+	Spent []Spent
+}
+
+// Report is what only those need of a daemon that have the duty.
+type Report struct {
+	Name    string   `cbor:"1,keyasint"`
+	Boot    int64    `cbor:"2,keyasint"`
+	Windows []Window `cbor:"3,keyasint,omitempty"`
+	Demands []Demand `cbor:"4,keyasint,omitempty"`
+	// Gap says that reports of this daemon have not come for some time.
+	Gap bool `cbor:"-"`
 }
 
 // Load is what a daemon has in flight at one endpoint.
