End attempts whose bytes are no answer, and streams that only trickle; leave slow ones be

Cause: http.ReadResponse bounds neither a head nor interim answers, the answer of another request was read to its end, and an event was kept until its end came. A test endpoint that never stops sent up to 220 MB in 1.5 s, to a host of 184 MB, and the caller got a 504 at its deadline. The timer of silence in a stream was reset by any byte, so that a stalled stream with a byte now and then was held to the deadline (20 s in the test); and it ended sound streams after 4 pauses (1 s at least) even where they could not go on elsewhere, sooner than their callers would have left.

Now a head has 64 KB with its interim answers, the answer of another request 1 MB, and so has an event; only whole events count against silence; a stream that cannot be resumed is given up half a second after callers leave it.

Ruled out: a time limit on heads alone, since 1.5 s of a fast link fill a small host.

--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -46,6 +46,17 @@
 	FaultEarly
 	// FaultSplit stops a stream in the middle of an event.
 	FaultSplit
+	// FaultEndlessHead, FaultEndlessInterim, FaultEndlessForeign and
+	// FaultEndlessEvent send bytes that are no answer until the caller closes:
+	// in a head, in interim answers, in the answer of another request and in
+	// one event of a stream.
+	FaultEndlessHead
+	FaultEndlessInterim
+	FaultEndlessForeign
+	FaultEndlessEvent
+	// FaultTrickle stops a stream in the middle of an event and goes on with a
+	// byte now and then.
+	FaultTrickle
 )
 
 // Run is one run of a request.
@@ -61,6 +72,8 @@
 	From int
 	// Left says whether the caller closed the connection during the run.
 	Left bool
+	// Filler is the bytes sent that are no answer.
+	Filler int
 }
 
 // Config configures an Endpoint.
@@ -232,6 +245,14 @@
 		return true
 	case FaultForeign:
 		write(c, e.head("other", 200, "Content-Length: 5\r\n")+"other")
+	case FaultEndlessHead:
+		return e.flood(c, n, "HTTP/1.1 200 OK\r\n", "X-Filler: "+strings.Repeat("x", 500)+"\r\n")
+	case FaultEndlessInterim:
+		return e.flood(c, n, "", "HTTP/1.1 100 Continue\r\n\r\n")
+	case FaultEndlessForeign:
+		return e.flood(c, n, e.head("other", 200, "Transfer-Encoding: chunked\r\n"), chunk(strings.Repeat("x", 500)))
+	case FaultEndlessEvent:
+		return e.flood(c, n, e.head(id, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"), chunk(strings.Repeat("x", 500)))
 	}
 	if e.cfg.Events > 0 {
 		return e.stream(c, n, id, fault)
@@ -287,6 +308,8 @@
 			return false
 		} else if i > half && fault == FaultCut {
 			return false
+		} else if i > half && fault == FaultTrickle {
+			return e.trickle(c, n)
 		}
 		if !write(c, chunk(event)) {
 			e.left(n, true)
@@ -297,6 +320,29 @@
 	return write(c, "0\r\n\r\n")
 }
 
+// flood sends the same bytes until the caller closes.
+func (e *Endpoint) flood(c net.Conn, n int, start, filler string) bool {
+	sent := 0
+	for ok := write(c, start); ok; ok = write(c, filler) {
+		sent += len(filler)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs[n].Left, e.runs[n].Filler = true, sent
+	return false
+}
+
+// tricklePause is the time between two bytes of a stream that has stalled.
+const tricklePause = 20 * time.Millisecond
+
+func (e *Endpoint) trickle(c net.Conn, n int) bool {
+	for write(c, chunk("x")) {
+		time.Sleep(tricklePause)
+	}
+	e.left(n, true)
+	return false
+}
+
 func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
 
 func (e *Endpoint) head(id string, status int, fields string) string {
--- a/internal/traffic/carrier/attempt.go
+++ b/internal/traffic/carrier/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -31,6 +32,9 @@
 	repeatableIdle = 3 * time.Second
 	// inlineBody is the largest body that is written before the answer is read.
 	inlineBody = 4 << 10
+	// headBytes bounds what is read of an answer before its body, interim
+	// answers with it.
+	headBytes = 64 << 10
 )
 
 // answer is the head of an endpoint's answer, with its body still to be read.
@@ -163,7 +167,9 @@
 func (a *answer) readHead(q *request) error {
 	req := &http.Request{Method: q.method}
 	for range maxForeign {
+		a.conn.Bound(headBytes)
 		res, err := readResponse(a.conn, req)
+		a.conn.Bound(-1)
 		if err != nil {
 			return err
 		}
@@ -173,8 +179,8 @@
 			return nil
 		}
 		a.c.logForeign(q, a, res.StatusCode)
-		if _, err := io.Copy(io.Discard, res.Body); err != nil {
-			return fmt.Errorf("pass over the answer of another request: %w", err)
+		if n, err := io.Copy(io.Discard, io.LimitReader(res.Body, wholeBytes+1)); err != nil || n > wholeBytes {
+			return fmt.Errorf("pass over the answer of another request: %d bytes: %w", n, cmp.Or(err, dialer.ErrEndless))
 		}
 		if res.Close {
 			return errors.New("only an answer of another request came")
--- a/internal/traffic/carrier/deliver.go
+++ b/internal/traffic/carrier/deliver.go
@@ -12,6 +12,7 @@
 
 	"pomelotiller/internal/config/registrar"
 	"pomelotiller/internal/traffic/chooser"
+	"pomelotiller/internal/traffic/dialer"
 )
 
 const (
@@ -19,6 +20,8 @@
 	// on, so that a break can still be answered for.
 	wholeBytes  = 1 << 20
 	streamBytes = 16 << 10
+	// eventBytes is the largest event of a stream.
+	eventBytes = 1 << 20
 )
 
 // progress is what was passed on of a stream.
@@ -145,19 +148,23 @@
 	buf := make([]byte, 0, streamBytes)
 	for {
 		if len(buf) == cap(buf) {
+			if len(buf) > eventBytes {
+				return false, fmt.Errorf("event is over %d bytes: %w", eventBytes, dialer.ErrEndless)
+			}
 			buf = append(buf, 0)[:len(buf)]
 		}
 		n, err := a.res.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		if n > 0 {
 			a.began(q)
-			gap.Reset(q.gap())
 		}
 		whole := bytes.LastIndex(buf, []byte("\n\n")) + 2
 		if errors.Is(err, io.EOF) {
 			whole = len(buf)
 		}
 		if whole >= 2 || errors.Is(err, io.EOF) {
+			// Bytes that make up no event are no sign that the stream goes on.
+			gap.Reset(q.gap())
 			if werr := c.pass(q, a, buf[:whole]); werr != nil {
 				return false, werr
 			}
--- a/internal/traffic/carrier/serve.go
+++ b/internal/traffic/carrier/serve.go
@@ -29,6 +29,13 @@
 	gapFactor = 4
 	// minGap is the shortest silence that ends an attempt.
 	minGap = time.Second
+	// Callers wait in a stream for the longest of callerGap, callerTargets of a
+	// route's targets and callerGaps of its longest pauses; gapMargin leaves
+	// them the decision.
+	callerGap     = 2 * time.Second
+	callerTargets = 4
+	callerGaps    = 8
+	gapMargin     = 500 * time.Millisecond
 )
 
 // serve sends a request to endpoints until one answers or no other may be
@@ -192,9 +199,14 @@
 	return time.Duration(hedgeShare * float64(left))
 }
 
-// gap returns how long an endpoint may stay silent within a stream.
+// gap returns how long an endpoint may stay silent within a stream. One that can
+// go on elsewhere is given up sooner; any other is left to its caller, who may
+// wait for it.
 func (q *request) gap() time.Duration {
-	return max(gapFactor*q.route.Gap, minGap)
+	if q.route.Repeatable() && q.attempts < q.route.Attempts {
+		return max(gapFactor*q.route.Gap, minGap)
+	}
+	return max(callerGap, callerTargets*q.route.Target, callerGaps*q.route.Gap) + gapMargin
 }
 
 // hostName returns the host of a Host header without a port.
--- a/internal/traffic/dialer/dialer.go
+++ b/internal/traffic/dialer/dialer.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -46,11 +47,16 @@
 	Limit int
 }
 
+// ErrEndless says that more came than was asked for.
+var ErrEndless = errors.New("more bytes than an answer may have")
+
 // Conn is a connection to an endpoint that carries one request at a time.
 type Conn struct {
 	net.Conn
 	// Reader reads from the connection; it must be used for all reads.
 	Reader *bufio.Reader
+	// bound ends the reads of Reader.
+	bound *bound
 	// Reused says whether a request was carried before.
 	Reused bool
 
@@ -58,6 +64,30 @@
 	since, until time.Time
 }
 
+// bound reads from a connection until a number of bytes came; negative is no
+// bound.
+type bound struct {
+	r    io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (b *bound) Read(p []byte) (int, error) {
+	if b.left < 0 {
+		return b.r.Read(p)
+	}
+	if b.left == 0 {
+		return 0, ErrEndless
+	}
+	n, err := b.r.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
+}
+
+// Bound lets n more bytes be read from the connection beside those that are
+// buffered; negative is no bound.
+func (c *Conn) Bound(n int64) { c.bound.left = n }
+
 // Config configures a Pool.
 type Config struct {
 	// Timeout bounds the making of one connection.
@@ -142,7 +172,8 @@
 		return nil, fmt.Errorf("connect to endpoint %s: %w", t.Instance, err)
 	}
 	meter.Count(p.cfg.Registry, 1, "endpoint_connections_total")
-	return &Conn{Conn: nc, Reader: bufio.NewReaderSize(nc, bufferBytes), key: t}, nil
+	b := &bound{nc, -1}
+	return &Conn{Conn: nc, Reader: bufio.NewReaderSize(b, bufferBytes), bound: b, key: t}, nil
 }
 
 // Keep takes a connection back after a whole answer, for use until its endpoint
