Large fleets: count what is known of others as old, so that daemons do not herd

Each daemon weighed 6 endpoints at random and 2 homes; one that seemed free was in 8 of 137 samples, and got eight times its share of 560 requests a second until the sums said otherwise, 0.6 s later, while a prompt is read in 50 ms. The waits also taught a pace that is too slow.

Ruled out: too few endpoints (a quarter of their time is used); the small hosts (8% of their processor); one bad endpoint or daemon (busiest to mean 1.24).

Where a service has over 40 endpoints 2 and 1 home are weighed; of the queue of others counts what a prompt pace leaves after 0.6 s, and of what runs there only the part over half of the slots. A request that none of the sample can take in time has all weighed, where it was refused before.

TestFreeEndpointIsNotOverrun got 324 of 4,000 requests at the free endpoint before (want 160 at most). TestSampleWithoutRoomIsNotAll is new, for the smaller sample.

--- a/internal/traffic/carrier/serve.go
+++ b/internal/traffic/carrier/serve.go
@@ -68,6 +68,7 @@
 func (c *Carrier) choose(q *request) (chooser.Choice, error) {
 	snap := c.cfg.Endpoints()
 	q.list = snap.Version
+	q.query.Within = q.within()
 	ch, ok := c.cfg.Chooser.Pick(q.query, snap.Services[q.service.Name])
 	q.choice = ch
 	if q.attempts == 0 {
@@ -84,7 +85,7 @@
 			Detail: fmt.Sprintf("none of %d endpoints can take the request", ch.Candidates),
 		}
 	}
-	if late := c.lateness(q, ch); late > 0 && q.attempts == 0 {
+	if late := ch.Wait - q.query.Within; late > 0 && q.attempts == 0 {
 		c.cfg.Demand.Refused(q.service.Name)
 		return ch, &refuser.Refusal{
 			Status: http.StatusServiceUnavailable, Title: "overloaded", Run: q.state, RetryAfter: max(late, minRetryAfter),
@@ -98,13 +99,13 @@
 // request is refused; predictions err on the long side.
 const admitFactor = 1.5
 
-// lateness returns by how much an answer would miss what it may take, or 0.
-func (c *Carrier) lateness(q *request, ch chooser.Choice) time.Duration {
+// within returns the longest wait for an answer that is taken on.
+func (q *request) within() time.Duration {
 	limit := time.Until(q.end)
 	if q.route.Target > 0 {
 		limit = min(limit, time.Duration(admitFactor*float64(q.route.Target)))
 	}
-	return max(ch.Wait-limit, 0)
+	return limit
 }
 
 // attemptError says why an attempt brought no answer to deliver.
--- a/internal/traffic/chooser/chooser.go
+++ b/internal/traffic/chooser/chooser.go
@@ -31,6 +31,8 @@
 	Parts []Part
 	// Excluded names endpoints that were tried.
 	Excluded []string
+	// Within is the wait up to which the best of a sample will do; 0 is any.
+	Within time.Duration
 	// Releases restricts the choice; empty is all.
 	Releases func(release string) bool
 }
@@ -94,23 +96,34 @@
 }
 
 // Pick returns the endpoint at which a request is predicted to be answered
-// first, or false if there is none to use.
+// first, or false if there is none to use. Of many endpoints a sample is weighed,
+// and all where none of the sample can answer in time.
 func (c *Chooser) Pick(q Query, endpoints []tracker.Endpoint) (Choice, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.cfg.Now()
 	var policy Policy[Query, candidate] = plainPolicy{}
 	if q.Prompt > 0 {
-		policy = batchPolicy{c.speed(q.Service), homeOf(q, endpoints)}
+		policy = batchPolicy{c.speed(q.Service), homeOf(q, endpoints), ageOf(endpoints)}
+	}
+	if len(endpoints) > sampleLimit {
+		ch, ok := c.best(q, policy, sampleOf(endpoints, q))
+		if ok && (q.Within == 0 || ch.Wait <= q.Within) {
+			return ch, true
+		}
 	}
+	return c.best(q, policy, endpoints)
+}
+
+// best returns the endpoint of the least cost.
+func (c *Chooser) best(q Query, policy Policy[Query, candidate], endpoints []tracker.Endpoint) (Choice, bool) {
+	now := c.cfg.Now()
 	var best Choice
 	var bestCost time.Duration
 	// Of equals the one that was used longest ago is taken.
 	var used time.Time
 	found, slots, running, n := false, 0, 0, 0
-	keep := sampleOf(endpoints, q)
 	for _, e := range endpoints {
-		if !usable(q, e) || !keep(e.ID) {
+		if !usable(q, e) {
 			continue
 		}
 		s := c.state(e.ID, e.Born)
@@ -140,32 +153,44 @@
 	// sampleLimit is the number of endpoints up to which all are weighed.
 	sampleLimit = 40
 	// sampleSize is the number weighed of more: what is known of them is older
-	// in a large fleet, and daemons that all choose the best would meet there.
-	sampleSize = 6
+	// in a large fleet than a prompt takes to be read, so that daemons that
+	// choose among many would all meet at the endpoint that seemed free.
+	sampleSize = 2
 	// homes is the number of endpoints, beside the sample, at which requests
 	// with the same shared parts meet.
-	homes = 2
+	homes = 1
 )
 
-// sampleOf returns which endpoints are weighed.
-func sampleOf(endpoints []tracker.Endpoint, q Query) func(id string) bool {
-	if len(endpoints) <= sampleLimit {
-		return func(string) bool { return true }
+// sumsAge is how old what is known of other daemons is in a large fleet, on its
+// way through two hubs.
+const sumsAge = 600 * time.Millisecond
+
+// ageOf returns how old what is known of other daemons may be. A service of many
+// endpoints has many daemons before it.
+func ageOf(endpoints []tracker.Endpoint) time.Duration {
+	if len(endpoints) > sampleLimit {
+		return sumsAge
 	}
-	kept := make(map[string]bool, sampleSize+homes)
+	return 0
+}
+
+// sampleOf returns the endpoints that are weighed of many.
+func sampleOf(endpoints []tracker.Endpoint, q Query) []tracker.Endpoint {
+	var out []tracker.Endpoint
 	for range sampleSize {
-		kept[endpoints[rand.IntN(len(endpoints))].ID] = true
+		out = append(out, endpoints[rand.IntN(len(endpoints))])
 	}
 	left := q
 	for range homes {
 		home := homeOf(left, endpoints)
-		if home == "" {
+		i := slices.IndexFunc(endpoints, func(e tracker.Endpoint) bool { return e.ID == home })
+		if i < 0 {
 			break
 		}
-		kept[home] = true
+		out = append(out, endpoints[i])
 		left.Excluded = append(slices.Clone(left.Excluded), home)
 	}
-	return func(id string) bool { return kept[id] }
+	return out
 }
 
 // usable reports whether any endpoint could take the request at all.
--- a/internal/traffic/chooser/policy.go
+++ b/internal/traffic/chooser/policy.go
@@ -64,6 +64,8 @@
 type batchPolicy struct {
 	speed *speed
 	home  string
+	// age is how old what is known of others may be.
+	age time.Duration
 }
 
 // Weigh implements Policy.
@@ -73,15 +75,23 @@
 		cached = int(homeCredit * float64(shared(q.Parts)))
 	}
 	unread := q.Prompt - cached
-	wait := firstTime + p.speed.time(c.state.prompt+c.state.theirs.Prompt+unread)
+	wait := firstTime + p.speed.time(c.state.prompt+unread) + max(p.speed.time(c.state.theirs.Prompt)-p.age, 0)
 	slots := max(c.Slots, 1)
 	running := c.state.running + c.state.theirs.Running
 	if running >= slots {
 		wait += firstTime * time.Duration(1+running-slots)
 	}
-	// A full batch slows every token; the cost grows with the batch.
-	crowd := firstTime * time.Duration(running) / time.Duration(slots)
-	return estimate{cost: wait + crowd + c.penalty(), wait: wait, unread: unread}
+	return estimate{cost: wait + p.crowd(running, slots) + c.penalty(), wait: wait, unread: unread}
+}
+
+// crowd is what a batch costs beside the wait, since a full one slows every token.
+// Where what is known of others is old, small differences are over by now, and all
+// daemons would meet where there was the least.
+func (p batchPolicy) crowd(running, slots int) time.Duration {
+	if p.age > 0 {
+		running = max(running-slots/2, 0)
+	}
+	return firstTime * time.Duration(running) / time.Duration(slots)
 }
 
 func (c candidate) penalty() time.Duration {
