Let a large request pass with half of what an organisation may save up

Ruled out: the rate itself (55% is used); a larger bucket, which would let more through in every window. What a large request takes beyond what is there is made up for by those after it, so that a window holds one of them more at most.

--- a/internal/traffic/limiter/limiter.go
+++ b/internal/traffic/limiter/limiter.go
@@ -58,6 +58,10 @@
 	}
 }
 
+// largeShare is the part of what may be saved up that must be there for a request
+// that is larger.
+const largeShare = 0.5
+
 // burstFraction of a second's allowance may be saved up where the organisation
 // has no burst, so that a single request can pass at all.
 const burstFraction = 10
@@ -81,8 +85,9 @@
 		return 0, true
 	}
 	b.refill(now, a.silentShare())
-	// A request larger than what may be saved up passes once the bucket is full.
-	need := min(cost, b.room(a.silentShare()))
+	// What a large request takes beyond that is made up for by those after it;
+	// waiting for all of it would starve the largest behind the small.
+	need := min(cost, largeShare*b.room(a.silentShare()))
 	if b.level >= need {
 		b.level -= cost
 		b.total += cost
--- a/internal/traffic/limiter/limiter_test.go
+++ b/internal/traffic/limiter/limiter_test.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -91,3 +92,49 @@
 		t.Errorf("got %g in 2 s, want at most 300", got)
 	}
 }
+
+// Requests of unequal size within the allowance: the largest are not starved by
+// those that come before them, and the allowance holds over every window.
+func TestLargeRequestsWithinTheAllowancePass(t *testing.T) {
+	const (
+		// large is over the burst, and comes once in largeEvery requests.
+		small, large, largeEvery = 0.35 * burst, 1.8 * burst, 12
+		used                     = 0.55
+		window                   = 8 * time.Second
+		span                     = 2000 * time.Second
+	)
+	mean := (small*(largeEvery-1) + large) / largeEvery
+	rnd := rand.New(rand.NewPCG(1, 2))
+	start := time.Unix(0, 0)
+	a := newAllowances(true, start)
+	asked, passed := 0, 0
+	type taken struct {
+		at   time.Duration
+		cost float64
+	}
+	var recent []taken
+	sum := 0.0
+	for at := time.Duration(0); at < span; at += time.Duration(rnd.ExpFloat64() * mean / (used * rate) * float64(time.Second)) {
+		cost := small
+		if rnd.IntN(largeEvery) == 0 {
+			cost = large
+			asked++
+		}
+		if _, ok := a.Take("o", cost, start.Add(at)); !ok {
+			continue
+		}
+		if cost == large {
+			passed++
+		}
+		recent, sum = append(recent, taken{at, cost}), sum+cost
+		for recent[0].at < at-window {
+			recent, sum = recent[1:], sum-recent[0].cost
+		}
+		if most := window.Seconds()*rate + burst + large; sum > most {
+			t.Fatalf("after %s: got %g within %s, want %g at most", at, sum, window, most)
+		}
+	}
+	if got, want := float64(passed)/float64(asked), 0.75; got < want {
+		t.Errorf("got %.2f of the large requests through at once, want %.2f at least", got, want)
+	}
+}
