Give no orders after the lease, and take in no malformed sums

Around a hand-over: the scaler read its fencing number once and then gave up to ten orders, each a call; with a cloud that takes a second a call the last went out 2.5 s after the lease, when another holder may act. The number is read again before each order. TestNoOrderAfterTheLease failed before. The usage reports did so already.

A malformed message: a digest with a negative number of parts had the receiver count up from it for good, under a lock; a sum that is not a number spoilt an allowance for good. Statuses, work and digests are checked when they are read. TestMalformedMessagesAreNotTakenIn took in 8 of the cases that it reached before; TestChangedBytesEndNothing (20,000 changed messages) passed at once.

--- a/internal/control/scaler/scaler.go
+++ b/internal/control/scaler/scaler.go
@@ -189,6 +189,10 @@
 	case o.Count < have && now.Sub(s.since) < startTime:
 		return true
 	}
+	if current, ok := s.cfg.Keeper.Fence(s.cfg.Duty); !ok || current != f {
+		// Calls before this one took so long that another may have the duty.
+		return false
+	}
 	err := s.cfg.Orderer.Order(ctx, f, o)
 	s.given[sub] = given{o.Count, now, err != nil}
 	if o.Count < have {
--- a/internal/fleet/sharer/exchange.go
+++ b/internal/fleet/sharer/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"time"
 
@@ -65,7 +66,7 @@
 			continue
 		}
 		var st Status
-		if err := cbor.Unmarshal(p.Status, &st); err != nil {
+		if err := errors.Join(cbor.Unmarshal(p.Status, &st), st.check()); err != nil {
 			s.log("msg", "status not readable", "from", b.From, "error", err)
 			continue
 		}
@@ -79,7 +80,7 @@
 func (s *Sharer) takeSums(b bundle, now time.Time) {
 	var d digest
 	if len(b.Digest) > 0 {
-		if err := cbor.Unmarshal(b.Digest, &d); err != nil {
+		if err := errors.Join(cbor.Unmarshal(b.Digest, &d), d.check()); err != nil {
 			s.log("msg", "sums not readable", "from", b.From, "error", err)
 			b.Digest = nil
 		}
@@ -87,7 +88,7 @@
 	}
 	s.mu.Lock()
 	s.overlay.heard(b, now)
-	if b.Work != nil && b.Wants {
+	if b.Work != nil && b.Wants && b.Work.check() == nil {
 		s.ledger.heard(b.From, *b.Work, now)
 	}
 	var followed *Sums
