Ask the store less at the start, for moves and by watches

Now a daemon that is not a seed leaves the authority to the seeds for 0.3 s; it takes its copy of the store from another one that has it, for up to 3 s; of a large fleet only hubs register; the state of a move is read by the holder of the duty, which tells the others, and a release gets nothing until it is known that it was not taken back (before, a daemon that had just started sent it requests for a moment).

Found on the way: two daemons that joined at once listed the members before either had written its address, and never heard of each other without seeds (TestRestartedDaemonHearsOthers failed once so). An address is now written first.

Ruled out: one watch for both parts, since it would wake for every write of our own.

--- a/internal/config/loader/edge.go
+++ b/internal/config/loader/edge.go
@@ -1,5 +1,7 @@
 package loader
 
+import "time"
+
 // Edge is the part of a daemon's settings that serves a platform which keeps
 // the configuration and the list of endpoints in its store.
 type Edge struct {
@@ -22,8 +24,13 @@
 	Grace Duration `yaml:"grace"`
 	// Lease is how long after its last call a holder of a duty may be replaced.
 	Lease Duration `yaml:"lease"`
-	// Watch is how long the store may hold a watch open.
-	Watch Duration `yaml:"watch"`
+	// Watch is how long the store may hold a watch open; 0 follows from Apply
+	// and Drain.
+	Watch Duration `yaml:"watch,omitempty"`
+	// Apply is the time within which a configuration is in force, and Drain that
+	// within which a leaving endpoint gets nothing more; 0 is no bound.
+	Apply Duration `yaml:"apply,omitempty"`
+	Drain Duration `yaml:"drain,omitempty"`
 	// Usage says how usage is counted and reported.
 	Usage Usage `yaml:"usage"`
 	// Retries bound the requests that are sent to a second endpoint.
@@ -71,6 +78,22 @@
 	Share float64 `yaml:"share"`
 }
 
+// waitShare is the part of a bound that a watch may wait, so that one on a
+// connection that has gone silent is made anew in time.
+const waitShare = 0.45
+
+// Wait returns how long the store may hold a watch open.
+func (e *Edge) Wait() time.Duration {
+	if e.Watch > 0 {
+		return e.Watch.Std()
+	}
+	least := e.Apply.Std()
+	if d := e.Drain.Std(); d > 0 && (least <= 0 || d < least) {
+		least = d
+	}
+	return time.Duration(waitShare * float64(least))
+}
+
 // check reports what is missing for serving such a platform.
 func (e *Edge) check() []Fault {
 	var faults []Fault
@@ -83,8 +106,8 @@
 	if e.Grace <= 0 {
 		missing("grace", "a duration such as 8s")
 	}
-	if e.Watch <= 0 {
-		missing("watch", "a duration such as 10s")
+	if e.Wait() <= 0 {
+		missing("watch", "a duration such as 10s, or apply and drain")
 	}
 	if e.Usage.Window <= 0 {
 		missing("usage.window", "a duration such as 5s")
--- a/internal/config/loader/edge_test.go
+++ b/internal/config/loader/edge_test.go
@@ -19,3 +19,20 @@
 		t.Errorf("got edge settings %+v, want those of the file", s.Edge)
 	}
 }
+
+// A watch waits for less than half of the tightest bound that it serves.
+func TestWaitFollowsFromBounds(t *testing.T) {
+	for _, tc := range []struct {
+		edge Edge
+		want time.Duration
+	}{
+		{Edge{Watch: Duration(time.Second), Drain: Duration(4 * time.Second)}, time.Second},
+		{Edge{Apply: Duration(4 * time.Second), Drain: Duration(2 * time.Second)}, 900 * time.Millisecond},
+		{Edge{Apply: Duration(2 * time.Second)}, 900 * time.Millisecond},
+		{Edge{}, 0},
+	} {
+		if got := tc.edge.Wait(); got != tc.want {
+			t.Errorf("%+v: got a wait of %s, want %s", tc.edge, got, tc.want)
+		}
+	}
+}
--- a/internal/control/roller/move.go
+++ b/internal/control/roller/move.go
@@ -22,6 +22,12 @@
 	// slowMargin is the same for answers past their target.
 	slowMargin = 0.25
 	minSlow    = 12
+	// settleDelay is how long a daemon without the duty waits for another to
+	// tell what the store says of a move.
+	settleDelay = 2500 * time.Millisecond
+	// settleTime is how long a release gets nothing while it is not known
+	// whether it was taken back before this daemon started.
+	settleTime = 4 * time.Second
 )
 
 // tally counts the answers of one release.
@@ -56,6 +62,8 @@
 	state State
 	// began is when the order was first seen by any daemon.
 	began time.Time
+	// seen is when this daemon first saw it.
+	seen time.Time
 	// settled says that the state in the store was read.
 	settled bool
 	// published is the latest state that this daemon wrote.
@@ -67,7 +75,7 @@
 func (m *move) share(now time.Time, exposure float64) float64 {
 	age := now.Sub(m.began).Seconds() / max(m.Within.Seconds(), 1)
 	switch {
-	case m.state == StateReverted:
+	case m.state == StateReverted, !m.settled && now.Sub(m.seen) < settleTime:
 		return 0
 	case m.state == StateDone, age >= shiftShare:
 		return 1
--- a/internal/control/roller/roller.go
+++ b/internal/control/roller/roller.go
@@ -105,7 +105,8 @@
 		delete(r.moves, o.Service)
 		return
 	}
-	r.moves[o.Service] = &move{Order: o, began: time.Now()}
+	now := time.Now()
+	r.moves[o.Service] = &move{Order: o, began: now, seen: now}
 	for s := range r.own {
 		if s.service == o.Service {
 			delete(r.own, s)
@@ -185,7 +186,7 @@
 	var moves []sharer.Move
 	for _, m := range r.moves {
 		moves = append(moves, sharer.Move{
-			Service: m.Service, Revision: m.Revision, State: int(m.state), Age: time.Since(m.began).Milliseconds(),
+			Service: m.Service, Revision: m.Revision, State: int(m.state), Age: time.Since(m.began).Milliseconds(), Settled: m.settled,
 		})
 	}
 	return trials, moves
@@ -212,6 +213,7 @@
 		if began := time.Now().Add(-time.Duration(h.Age) * time.Millisecond); began.Before(m.began) {
 			m.began = began
 		}
+		m.settled = m.settled || h.Settled
 		r.advance(m, State(h.State), "another daemon says so")
 	}
 }
@@ -246,7 +248,10 @@
 
 // settle reads the state of an order that may be older than this daemon.
 func (r *Roller) settle(ctx context.Context, m *move) {
-	if m.settled {
+	r.mu.Lock()
+	wait := m.settled || !r.cfg.Held() && time.Since(m.seen) < settleDelay
+	r.mu.Unlock()
+	if wait {
 		return
 	}
 	s, ok, err := r.cfg.Publisher.Published(ctx, m.Order)
--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -44,6 +44,9 @@
 	// freshMargin is how much longer than a watch the latest answer of the store
 	// to another daemon may be ago.
 	freshMargin = 700 * time.Millisecond
+	// copyPatience is how long a daemon waits for another that has a copy of the
+	// store before it lists it itself.
+	copyPatience = time.Second
 	// logLines is how many lines may wait to be written.
 	logLines = 4096
 )
@@ -179,7 +182,10 @@
 		Name: s.Name, Domain: s.Domain, Address: s.PeersAddress(), Boot: d.boot, Size: s.Edge.Host.Size(),
 		Fill: d.fill, Heard: d.heard, Lost: d.lost, Summed: d.summed, Reported: d.reported, Duty: platformDuty, Logger: d.logger, Registry: d.registry,
 	})
-	base := syncer.Config{Store: a.Store, Peers: d.sharer, Fresh: s.Edge.Watch.Std() + freshMargin, Logger: d.logger, Registry: d.registry}
+	base := syncer.Config{Store: a.Store, Peers: d.sharer, Fresh: s.Edge.Wait() + freshMargin, Logger: d.logger, Registry: d.registry}
+	if len(s.Seeds) > 0 && !d.isSeed() {
+		base.Patience = copyPatience
+	}
 	operator, endpoints := base, base
 	operator.Prefix, operator.Apply = a.OperatorPart, d.applyOperator
 	endpoints.Prefix, endpoints.Apply = a.EndpointPart, d.applyEndpoints
--- a/internal/daemon/composer/peers.go
+++ b/internal/daemon/composer/peers.go
@@ -1,10 +1,13 @@
 package composer
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,8 +23,22 @@
 	memberPrefix = "fleet/members/"
 	// joinDelay is the time between two tries to join.
 	joinDelay = 200 * time.Millisecond
+	// firstDelay is how long a daemon that is not a seed leaves it to the seeds
+	// to create the authority, where all start for the first time.
+	firstDelay = 300 * time.Millisecond
+	// meetTime is how long a daemon that starts waits to hear of a large fleet,
+	// and meetPeriod the time between two looks.
+	meetTime   = time.Second
+	meetPeriod = 100 * time.Millisecond
+	// roleTime is how long a daemon waits to know whether it is a hub.
+	roleTime = 3 * time.Second
 )
 
+// isSeed reports whether the settings of others name this daemon.
+func (d *Daemon) isSeed() bool {
+	return slices.Contains(d.cfg.Settings.Seeds, d.cfg.Settings.Operators)
+}
+
 // fill completes the status that goes to the other daemons.
 func (d *Daemon) fill(s *sharer.Status) {
 	s.Loads = d.chooser.Loads()
@@ -129,6 +146,10 @@
 // runPeers gets key material, joins the other daemons and serves them.
 func (d *Daemon) runPeers(ctx context.Context) error {
 	var id messenger.Identity
+	if d.cfg.Settings.Edge.First && !d.isSeed() {
+		// The seeds create what all need; the others find it there.
+		ticker.Pause(ctx, firstDelay)
+	}
 	for first := true; ; first = false {
 		var err error
 		if id, err = issuer.Identity(ctx, d.cfg.Adapter.Store, d.cfg.Settings.Name); err == nil {
@@ -174,29 +195,47 @@
 }
 
 // register leaves this daemon's address in the store and reads those of others.
+// In a large fleet the addresses of hubs suffice.
 func (d *Daemon) register(ctx context.Context) {
-	for {
+	for end := time.Now().Add(meetTime); !d.sharer.Large() && time.Now().Before(end); {
+		if !ticker.Pause(ctx, meetPeriod) {
+			return
+		}
+	}
+	if d.sharer.Large() {
+		d.joined.Store(true)
+		d.awaitHub(ctx)
+	}
+	for ctx.Err() == nil {
 		err := d.join(ctx)
 		if err == nil {
 			d.joined.Store(true)
 			return
 		}
-		if !ticker.Pause(ctx, joinDelay) {
+		d.log("msg", "not registered", "error", err)
+		ticker.Pause(ctx, joinDelay)
+	}
+}
+
+// awaitHub returns once this daemon is a hub, or the fleet is no longer large.
+func (d *Daemon) awaitHub(ctx context.Context) {
+	for ticker.Pause(ctx, roleTime) {
+		if d.sharer.IsHub() || !d.sharer.Large() {
 			return
 		}
-		d.log("msg", "not registered", "error", err)
 	}
 }
 
+// join writes this daemon's address and then reads those of others, so that of two
+// that join at once one at least knows the other.
 func (d *Daemon) join(ctx context.Context) error {
-	store := d.cfg.Adapter.Store
-	p, err := store.List(ctx, memberPrefix)
+	if err := d.announce(ctx); err != nil {
+		return err
+	}
+	p, err := d.cfg.Adapter.Store.List(ctx, memberPrefix)
 	if err != nil {
 		return err
 	}
-	key, self := memberPrefix+d.cfg.Settings.Name, d.cfg.Settings.PeersAddress()
-	var expect uint64
-	registered := false
 	var others []string
 	for _, e := range p.Entries {
 		var addr string
@@ -204,20 +243,29 @@
 			d.log("msg", "member not readable", "key", e.Key, "error", err)
 			continue
 		}
-		if e.Key == key {
-			expect, registered = e.Revision, addr == self
-			continue
-		}
 		others = append(others, addr)
 	}
 	d.sharer.ContactLater(others...)
-	if registered {
-		return nil
-	}
-	b, err := json.Marshal(self)
+	return nil
+}
+
+// announce writes this daemon's address, unless it stands there from an earlier
+// start.
+func (d *Daemon) announce(ctx context.Context) error {
+	b, err := json.Marshal(d.cfg.Settings.PeersAddress())
 	if err != nil {
 		return err
 	}
-	_, err = store.Swap(ctx, storer.Write{Key: key, Value: b, Expect: expect})
+	w := storer.Write{Key: memberPrefix + d.cfg.Settings.Name, Value: b}
+	_, err = d.cfg.Adapter.Store.Swap(ctx, w)
+	var conflict *storer.ConflictError
+	if !errors.As(err, &conflict) || len(conflict.Current.Value) == 0 {
+		return err
+	}
+	if bytes.Equal(conflict.Current.Value, b) {
+		return nil
+	}
+	w.Expect = conflict.Current.Revision
+	_, err = d.cfg.Adapter.Store.Swap(ctx, w)
 	return err
 }
--- a/internal/fleet/sharer/members.go
+++ b/internal/fleet/sharer/members.go
@@ -24,6 +24,20 @@
 	return out
 }
 
+// Large reports whether statuses go through hubs.
+func (s *Sharer) Large() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.overlay.large
+}
+
+// IsHub reports whether this daemon is a hub.
+func (s *Sharer) IsHub() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.overlay.isHub
+}
+
 // Count returns how many daemons there may be, with this one, and how many of
 // them are not heard. An address that was never heard from counts for some time,
 // since a daemon that has just started knows no more of the others.
--- a/internal/fleet/sharer/status.go
+++ b/internal/fleet/sharer/status.go
@@ -109,4 +109,6 @@
 	State    int    `cbor:"3,keyasint"`
 	// Age is the time since the order was first seen, in milliseconds.
 	Age int64 `cbor:"4,keyasint"`
+	// Settled says that the daemon knows what the store says of the move.
+	Settled bool `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/fleet/syncer/syncer.go
+++ b/internal/fleet/syncer/syncer.go
@@ -34,6 +34,9 @@
 	// watchGap is the time between two watches while there are changes, so that
 	// changes in quick succession come in few answers.
 	watchGap = 100 * time.Millisecond
+	// answeredPatience is by what patience grows where another daemon was
+	// answered.
+	answeredPatience = 3
 	// firstDelay and lastDelay bound the pause after a failed call to the
 	// store.
 	firstDelay = 50 * time.Millisecond
@@ -67,6 +70,9 @@
 	// Fresh is how old the last answer of the store to another daemon may be
 	// that makes a watch of this one needless.
 	Fresh time.Duration
+	// Patience is how long a daemon that starts waits for another one that has
+	// a copy, before it lists the store itself; zero for the first to start.
+	Patience time.Duration
 	// Apply is told of changed and deleted entries, in turn, never at once.
 	// Lost is when the store was last seen to answer no daemon; zero if never.
 	Apply    func(changed []storer.Entry, lost time.Time)
@@ -113,8 +119,9 @@
 func (s *Syncer) Run(ctx context.Context) error {
 	delay := firstDelay
 	relist := true
+	start := time.Now()
 	for ctx.Err() == nil {
-		if s.Loaded() && !s.cfg.Peers.Follows(s.cfg.Prefix, s.cfg.Fresh) {
+		if s.waits(start) {
 			turn := ticker.NewTimer(turnPeriod)
 			select {
 			case <-ctx.Done():
@@ -139,6 +146,16 @@
 	return nil
 }
 
+// waits reports whether this daemon leaves the store to others for now. One that
+// has just started waits longer where it knows that another has a copy.
+func (s *Syncer) waits(start time.Time) bool {
+	age := time.Since(start)
+	if s.Loaded() {
+		return !s.cfg.Peers.Follows(s.cfg.Prefix, s.cfg.Fresh)
+	}
+	return age < s.cfg.Patience || age < answeredPatience*s.cfg.Patience && s.cfg.Peers.Answers(s.cfg.Prefix, s.cfg.Fresh)
+}
+
 // RunPull takes from other daemons what the store does not tell, until ctx ends.
 func (s *Syncer) RunPull(ctx context.Context) error {
 	tick := ticker.NewTimer(pullPeriod)
--- a/internal/fleet/syncer/syncer_test.go
+++ b/internal/fleet/syncer/syncer_test.go
@@ -23,6 +23,8 @@
 	history []storer.Entry
 	compact uint64
 	down    bool
+	// lists counts the calls for all entries.
+	lists int
 }
 
 func (s *store) put(key, value string, deleted bool) {
@@ -46,6 +48,7 @@
 func (s *store) List(context.Context, string) (storer.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lists++
 	if s.down {
 		return storer.Page{}, storer.ErrUnavailable
 	}
@@ -108,9 +111,13 @@
 }
 
 func newCopy(ctx context.Context, st storer.Store, p *peers) *copied {
+	return newPatientCopy(ctx, st, p, 0)
+}
+
+func newPatientCopy(ctx context.Context, st storer.Store, p *peers, patience time.Duration) *copied {
 	c := &copied{entries: make(map[string]string)}
 	c.Syncer = New(Config{
-		Store: st, Prefix: "part/", Peers: p, Fresh: time.Second, Logger: log.NewNopLogger(), Registry: metrics.NewRegistry(),
+		Store: st, Prefix: "part/", Peers: p, Fresh: time.Second, Patience: patience, Logger: log.NewNopLogger(), Registry: metrics.NewRegistry(),
 		Apply: func(changed []storer.Entry, lost time.Time) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -217,3 +224,22 @@
 		t.Error("got an answer from a copy that is not complete, want an error")
 	}
 }
+
+// Many daemons that start at once take their copies from the one that has it, and
+// a daemon that hears of none lists the store itself.
+func TestDaemonsThatStartAtOnceListOnce(t *testing.T) {
+	run(t, func(ctx context.Context, st *store, c *copied) {
+		for range 50 {
+			newPatientCopy(ctx, st, &peers{other: c.Syncer}, time.Second)
+		}
+		time.Sleep(2 * time.Second)
+		if st.lists != 1 {
+			t.Errorf("got %d lists of the store, want 1", st.lists)
+		}
+		alone := newPatientCopy(ctx, st, &peers{follows: true}, time.Second)
+		time.Sleep(1500 * time.Millisecond)
+		if !alone.Loaded() {
+			t.Error("a daemon that hears of no other has no copy, want its own")
+		}
+	})
+}
