Wait for others' copies only where the whole fleet starts for the first time

A daemon that was started again waited up to a second for another's copy of the store, and counted 16 members of which 15 are silent until it had registered, while callers were there.

Ruled out: the bucket of large requests and the aligned timers, which stay. TestDaemons and the soak start all daemons with `first: true` and saw nothing of it.

--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -45,7 +45,8 @@
 	// to another daemon may be ago.
 	freshMargin = 700 * time.Millisecond
 	// copyPatience is how long a daemon waits for another that has a copy of the
-	// store before it lists it itself.
+	// store, before it lists it itself, where all start for the first time. Later
+	// there are callers who would wait with it.
 	copyPatience = time.Second
 	// logLines is how many lines may wait to be written.
 	logLines = 4096
@@ -183,7 +184,7 @@
 		Fill: d.fill, Heard: d.heard, Lost: d.lost, Summed: d.summed, Reported: d.reported, Duty: platformDuty, Logger: d.logger, Registry: d.registry,
 	})
 	base := syncer.Config{Store: a.Store, Peers: d.sharer, Fresh: s.Edge.Wait() + freshMargin, Logger: d.logger, Registry: d.registry}
-	if len(s.Seeds) > 0 && !d.isSeed() {
+	if s.Edge.First && len(s.Seeds) > 0 && !d.isSeed() {
 		base.Patience = copyPatience
 	}
 	operator, endpoints := base, base
--- a/internal/daemon/composer/peers.go
+++ b/internal/daemon/composer/peers.go
@@ -195,16 +195,10 @@
 }
 
 // register leaves this daemon's address in the store and reads those of others.
-// In a large fleet the addresses of hubs suffice.
+// Where a large fleet starts for the first time, the addresses of hubs suffice.
 func (d *Daemon) register(ctx context.Context) {
-	for end := time.Now().Add(meetTime); !d.sharer.Large() && time.Now().Before(end); {
-		if !ticker.Pause(ctx, meetPeriod) {
-			return
-		}
-	}
-	if d.sharer.Large() {
-		d.joined.Store(true)
-		d.awaitHub(ctx)
+	if d.cfg.Settings.Edge.First {
+		d.meet(ctx)
 	}
 	for ctx.Err() == nil {
 		err := d.join(ctx)
@@ -217,6 +211,20 @@
 	}
 }
 
+// meet waits for others to be heard, and in a large fleet until this daemon is a
+// hub.
+func (d *Daemon) meet(ctx context.Context) {
+	for end := time.Now().Add(meetTime); !d.sharer.Large() && time.Now().Before(end); {
+		if !ticker.Pause(ctx, meetPeriod) {
+			return
+		}
+	}
+	if d.sharer.Large() {
+		d.joined.Store(true)
+		d.awaitHub(ctx)
+	}
+}
+
 // awaitHub returns once this daemon is a hub, or the fleet is no longer large.
 func (d *Daemon) awaitHub(ctx context.Context) {
 	for ticker.Pause(ctx, roleTime) {
