--- a/internal/fleet/sharer/ledger_test.go
+++ b/internal/fleet/sharer/ledger_test.go
@@ -120,7 +120,7 @@
 	for name, lost := range map[string]func(all []*Sharer, n int) bool{
 		"a hub dies":            func(all []*Sharer, n int) bool { return hubs(all[n : n+1])[all[n].cfg.Name] },
 		"a domain is cut off":   func(_ []*Sharer, n int) bool { return n%3 == 0 },
-		"a plain daemon is cut": func(all []*Sharer, n int) bool { return n == large-1 },
+		"a plain daemon is cut": func(_ []*Sharer, n int) bool { return n == large-1 },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
