--- a/internal/fleet/sharer/bundle.go
+++ b/internal/fleet/sharer/bundle.go
@@ -174,11 +174,10 @@
 			sums = append(sums, s.encodeOne(d))
 		}
 	}
-	limit := silence * s.period()
 	var out []outgoing
 	for name, a := range v.attached {
 		p := s.peers[name]
-		if p == nil || now.Sub(a.asked) > limit {
+		if p == nil || now.Sub(a.asked) > sumsSilence {
 			delete(v.attached, name)
 			continue
 		}
--- a/internal/fleet/sharer/ledger.go
+++ b/internal/fleet/sharer/ledger.go
@@ -262,9 +262,9 @@
 }
 
 // becomeHub goes on at the pace known before until the sums of the other hubs
-// are known, which takes about two of their messages.
+// are known, which takes one of their messages or two.
 func (l *ledger) becomeHub(now time.Time) {
-	for _, s := range l.guess(now.Add(2 * hubPeriod)) {
+	for _, s := range l.guess(now.Add(hubPeriod)) {
 		l.count(s.Organisation, s.Total)
 	}
 }
