Use no connection that was idle for longer than a silent one takes to be noticed

A connection that has gone silent is noticed by an unacknowledged byte after 1.5 s, so that is now the longest that one may have been idle (3 s before). A new one fails at once in a cut. The price is more new connections.

--- a/internal/traffic/carrier/attempt.go
+++ b/internal/traffic/carrier/attempt.go
@@ -29,7 +29,7 @@
 	// request which must not be repeated, since one that has gone silent unnoticed
 	// loses it; repeatableIdle is that of others.
 	onceIdle       = 500 * time.Millisecond
-	repeatableIdle = 3 * time.Second
+	repeatableIdle = 1500 * time.Millisecond
 	// inlineBody is the largest body that is written before the answer is read.
 	inlineBody = 4 << 10
 	// headBytes bounds what is read of an answer before its body, interim
