Split the sharer by contacts, revisions and what is due when

Functions were moved, not changed, but for plan, whose second half is othersSums now, and the type news, which shared its name with a method and is newest.

--- a/internal/fleet/sharer/ledger.go
+++ b/internal/fleet/sharer/ledger.go
@@ -41,7 +41,7 @@
 }
 
 // ledger adds up what the daemons of a large fleet have in flight and let
-// through, each daemon once. It is kept by one goroutine at a time.
+// through, each daemon once. The mutex of its Sharer guards it.
 type ledger struct {
 	// works holds the latest work of each attached daemon.
 	works map[string]entry
--- /dev/null
+++ b/internal/fleet/sharer/schedule.go
@@ -0,0 +1,98 @@
+package sharer
+
+import (
+	"context"
+	"time"
+)
+
+// tick sends what is due.
+func (s *Sharer) tick(ctx context.Context, hasty bool) {
+	s.age()
+	now := time.Now()
+	p, sums := s.plan(now, hasty)
+	if sums != nil {
+		s.cfg.Summed(*sums)
+	}
+	for _, out := range s.due(now, s.own(now, p)) {
+		go s.send(ctx, out)
+	}
+	s.mu.Lock()
+	pending := s.pending
+	s.pending = nil
+	s.mu.Unlock()
+	s.takeReports(pending, now)
+}
+
+// plan works out what is due, and what became of the sums of others.
+func (s *Sharer) plan(now time.Time, hasty bool) (plan, *Sums) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	was, wasHub, hub := s.overlay.large, s.overlay.isHub, s.overlay.hub
+	if s.changed || now.Sub(s.counted) >= countPeriod {
+		s.changed, s.counted = false, now
+		s.recount()
+		s.arrange()
+	}
+	s.choose(now)
+	p := plan{large: s.overlay.large, row: hasty || now.Sub(s.sent) >= s.period()-s.pauseLocked()/2}
+	if !p.large {
+		if was {
+			return p, &Sums{}
+		}
+		return p, nil
+	}
+	if s.overlay.hub != hub {
+		s.ledger.attach()
+		// The new hub must know of this daemon before others miss it.
+		hasty = true
+	}
+	if s.overlay.isHub && !wasHub {
+		s.ledger.becomeHub(now)
+	}
+	p.sums = now.Sub(s.summed) >= s.sumsPeriod()-hubPeriod/4
+	// A daemon's status goes out with its work, unless it is news. A hub looks for
+	// other hubs with each.
+	p.row = hasty || p.row && (p.sums || s.overlay.isHub)
+	if !p.sums {
+		return p, nil
+	}
+	return p, s.othersSums(now)
+}
+
+// othersSums returns what became of the sums of others, where this daemon adds them
+// up itself or lost its hub.
+func (s *Sharer) othersSums(now time.Time) *Sums {
+	s.summed = now
+	s.ledger.expire(now)
+	if s.overlay.isHub {
+		sums := s.ledger.others()
+		return &sums
+	}
+	if !s.followed.IsZero() && now.Sub(s.followed) > sumsSilence {
+		s.followed = time.Time{}
+		return &Sums{}
+	}
+	return nil
+}
+
+// sumsPeriod returns the time between two messages about what is in flight.
+func (s *Sharer) sumsPeriod() time.Duration {
+	if s.overlay.isHub {
+		return hubPeriod
+	}
+	return workPeriod
+}
+
+// pause returns the time until there is something to do.
+func (s *Sharer) pause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pauseLocked()
+}
+
+func (s *Sharer) pauseLocked() time.Duration {
+	if s.overlay.large {
+		return hubPeriod
+	}
+	return s.period()
+}
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -113,21 +112,6 @@
 	direct bool
 }
 
-// contact is an address at which there may be a daemon.
-type contact struct {
-	since time.Time
-	tried time.Time
-	pause time.Duration
-	// failing says that the latest status could not be sent.
-	failing bool
-}
-
-// news is a revision of a part of the store, and when it was first heard of.
-type news struct {
-	revision uint64
-	at       time.Time
-}
-
 // Sharer spreads the daemon's status and keeps those of others.
 type Sharer struct {
 	cfg Config
@@ -157,7 +141,7 @@
 	// changed says that members came, went or changed since the last look.
 	changed bool
 	// newest is the latest revision of each part that any daemon knows.
-	newest map[string]news
+	newest map[string]newest
 	// members and silent are what Count returns, as of counted.
 	counted         time.Time
 	members, silent int
@@ -172,7 +156,7 @@
 func New(cfg Config) *Sharer {
 	return &Sharer{
 		cfg: cfg, peers: make(map[string]*Peer), contacts: make(map[string]*contact), overlay: newOverlay(), ledger: newLedger(), members: 1,
-		reports: make(map[string]cbor.RawMessage), reported: make(map[string]time.Time), newest: make(map[string]news), turns: make(map[string]string),
+		reports: make(map[string]cbor.RawMessage), reported: make(map[string]time.Time), newest: make(map[string]newest), turns: make(map[string]string),
 		revisions: make(map[string]uint64), answered: make(map[string]time.Time),
 		soon: make(chan struct{}, 1),
 	}
@@ -190,38 +174,6 @@
 	})
 }
 
-// Contact adds addresses at which there may be daemons.
-func (s *Sharer) Contact(addresses ...string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.contact(time.Time{}, addresses)
-}
-
-// ContactLater adds addresses of which most will be heard of through others; the
-// rest are tried after a while, if the fleet is large.
-func (s *Sharer) ContactLater(addresses ...string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var tried time.Time
-	if len(addresses) > baseSize {
-		tried = time.Now()
-	}
-	s.contact(tried, addresses)
-}
-
-func (s *Sharer) contact(tried time.Time, addresses []string) {
-	added := false
-	for _, a := range addresses {
-		if _, ok := s.contacts[a]; !ok && a != s.cfg.Address {
-			s.contacts[a] = &contact{since: time.Now(), tried: tried, pause: retryPeriod}
-			added = true
-		}
-	}
-	if added {
-		s.recount()
-	}
-}
-
 // Run sends statuses until ctx ends.
 func (s *Sharer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -254,20 +206,6 @@
 	return basePeriod * time.Duration(max(1, (len(s.peers)+baseSize-1)/baseSize))
 }
 
-// pause returns the time until there is something to do.
-func (s *Sharer) pause() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.pauseLocked()
-}
-
-func (s *Sharer) pauseLocked() time.Duration {
-	if s.overlay.large {
-		return hubPeriod
-	}
-	return s.period()
-}
-
 // Hasten sends the next status at once.
 func (s *Sharer) Hasten() {
 	select {
@@ -308,94 +246,6 @@
 	}
 }
 
-// tick sends what is due.
-func (s *Sharer) tick(ctx context.Context, hasty bool) {
-	s.age()
-	now := time.Now()
-	p, sums := s.plan(now, hasty)
-	if sums != nil {
-		s.cfg.Summed(*sums)
-	}
-	for _, out := range s.due(now, s.own(now, p)) {
-		go s.send(ctx, out)
-	}
-	s.mu.Lock()
-	pending := s.pending
-	s.pending = nil
-	s.mu.Unlock()
-	s.takeReports(pending, now)
-}
-
-// plan works out what is due, and what became of the sums of others.
-func (s *Sharer) plan(now time.Time, hasty bool) (plan, *Sums) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	was, wasHub, hub := s.overlay.large, s.overlay.isHub, s.overlay.hub
-	if s.changed || now.Sub(s.counted) >= countPeriod {
-		s.changed, s.counted = false, now
-		s.recount()
-		s.arrange()
-	}
-	s.choose(now)
-	p := plan{large: s.overlay.large, row: hasty || now.Sub(s.sent) >= s.period()-s.pauseLocked()/2}
-	if !p.large {
-		if was {
-			return p, &Sums{}
-		}
-		return p, nil
-	}
-	if s.overlay.hub != hub {
-		s.ledger.attach()
-		// The new hub must know of this daemon before others miss it.
-		hasty = true
-	}
-	if s.overlay.isHub && !wasHub {
-		s.ledger.becomeHub(now)
-	}
-	p.sums = now.Sub(s.summed) >= s.sumsPeriod()-hubPeriod/4
-	// A daemon's status goes out with its work, unless it is news. A hub looks for
-	// other hubs with each.
-	p.row = hasty || p.row && (p.sums || s.overlay.isHub)
-	if !p.sums {
-		return p, nil
-	}
-	s.summed = now
-	s.ledger.expire(now)
-	if s.overlay.isHub {
-		sums := s.ledger.others()
-		return p, &sums
-	}
-	if !s.followed.IsZero() && now.Sub(s.followed) > sumsSilence {
-		s.followed = time.Time{}
-		return p, &Sums{}
-	}
-	return p, nil
-}
-
-// retries returns the addresses that are not heard and that are due for another
-// try.
-func (s *Sharer) retries(now time.Time, heard map[string]bool) []string {
-	var due []string
-	for a, c := range s.contacts {
-		if !heard[a] && now.Sub(c.tried) >= c.pause {
-			due = append(due, a)
-		}
-	}
-	slices.SortFunc(due, func(a, b string) int { return s.contacts[a].tried.Compare(s.contacts[b].tried) })
-	most := retriesAtOnce
-	if s.overlay.isHub {
-		most = hubRetriesAtOnce
-	}
-	if len(due) > most {
-		due = due[:most]
-	}
-	for _, a := range due {
-		c := s.contacts[a]
-		c.tried, c.pause = now, min(2*c.pause, lastRetryPeriod)
-	}
-	return due
-}
-
 // age marks peers as silent and forgets those that stay so.
 func (s *Sharer) age() {
 	s.mu.Lock()
@@ -435,51 +285,12 @@
 	s.log("msg", "peer forgotten", "peer", p.Name, "quiet", quiet, "stopping", p.Stopping)
 }
 
-// sumsPeriod returns the time between two messages about what is in flight.
-func (s *Sharer) sumsPeriod() time.Duration {
-	if s.overlay.isHub {
-		return hubPeriod
-	}
-	return workPeriod
-}
-
 // noteChange has what follows from the members worked out anew.
 func (s *Sharer) noteChange() {
 	s.listed, s.changed = nil, true
 	clear(s.turns)
 }
 
-// Revised implements syncer.Peers. Where statuses go through hubs, a daemon that
-// got the revision from its hub has no news for others.
-func (s *Sharer) Revised(part string, revision uint64) {
-	s.mu.Lock()
-	fresh := s.noteNews(part, revision) || !s.overlay.large || s.overlay.isHub
-	s.revisions[part] = max(s.revisions[part], revision)
-	s.mu.Unlock()
-	if fresh {
-		s.Hasten()
-	}
-}
-
-// noteRevisions takes in what another daemon knows. A hub passes on news at
-// once.
-func (s *Sharer) noteRevisions(revisions map[string]uint64) {
-	for part, r := range revisions {
-		if s.noteNews(part, r) {
-			s.hastenHub()
-		}
-	}
-}
-
-// noteNews reports whether a revision is the latest that any daemon knows.
-func (s *Sharer) noteNews(part string, revision uint64) bool {
-	if revision <= s.newest[part].revision {
-		return false
-	}
-	s.newest[part] = news{revision, time.Now()}
-	return true
-}
-
 // Call implements syncer.Peers.
 func (s *Sharer) Call(ctx context.Context, addr, kind string, body []byte) ([]byte, error) {
 	s.mu.Lock()
