Log what each attempt adds to a stream, and how its answer ended

An attempt without an error did not say which status it had, from which event it was to go on, which events it added, nor what marked the end of its answer. So a stream that another endpoint continued, one that an error answer ended, and one without a length that broke off between two events left the same lines.

--- a/internal/traffic/carrier/account.go
+++ b/internal/traffic/carrier/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -88,6 +89,7 @@
 	if a.conn != nil {
 		fields = append(fields, "reused", a.conn.Reused)
 	}
+	fields = append(fields, answerFields(a)...)
 	if err != nil {
 		fields = append(fields, "run", q.runState, "blocks", blockIDs(q.query.PromptBlocks), "error", err)
 		meter.AddToCounter(c.cfg.Registry, 1, "attempt_failures_total", "service", q.service.Name)
@@ -97,6 +99,33 @@
 	logger.Info(c.cfg.Logger, fields...)
 }
 
+// answerFields returns the log fields that describe the answer of an attempt: its status, what marks its
+// end, and of a stream the ids of the events that frame what this attempt added.
+func answerFields(a *answer) []any {
+	var fields []any
+	if a.res != nil {
+		fields = append(fields, "status", a.res.StatusCode, "framing", framing(a.res))
+	}
+	if a.from != "" {
+		fields = append(fields, "from", a.from)
+	}
+	if a.lastID != "" {
+		fields = append(fields, "first_event", a.firstID, "last_event", a.lastID)
+	}
+	return fields
+}
+
+// framing returns what marks the end of an answer: its length, its last chunk or the end of the connection.
+func framing(res *http.Response) string {
+	switch {
+	case len(res.TransferEncoding) > 0:
+		return "chunks"
+	case res.ContentLength >= 0:
+		return "length"
+	}
+	return "close"
+}
+
 // blockIDs returns the ids of prompt blocks, separated by commas.
 func blockIDs(blocks []chooser.PromptBlock) string {
 	ids := make([]string, len(blocks))
--- a/internal/traffic/carrier/attempt.go
+++ b/internal/traffic/carrier/attempt.go
@@ -56,8 +56,11 @@
 	cancel      context.CancelFunc
 	span        trace.Span
 	sentAt      time.Time
-	firstByteAt time.Time
-	finished    bool
+	// from is the id of the event after which the endpoint was asked to resume the stream, firstID and
+	// lastID are those of the first and the last event of this attempt that were sent to the caller.
+	from, firstID, lastID string
+	firstByteAt           time.Time
+	finished              bool
 	// hasEvents says that an event of the answer was sent to the caller.
 	hasEvents bool
 	// writes counts the writes to the caller that held an event.
@@ -76,7 +79,7 @@
 		t := time.AfterFunc(p, cancel)
 		defer t.Stop()
 	}
-	a := &answer{c: c, ctx: actx, cancel: cancel, span: span, choice: ch, sentAt: time.Now()}
+	a := &answer{c: c, ctx: actx, cancel: cancel, span: span, choice: ch, sentAt: time.Now(), from: cmp.Or(q.events.lastID, q.LastEvent)}
 	a.attempt = c.cfg.Chooser.Start(q.query, ch)
 	err := a.connect(q)
 	if err == nil {
--- a/internal/traffic/carrier/deliver.go
+++ b/internal/traffic/carrier/deliver.go
@@ -1,7 +1,7 @@
 package carrier
 
 import (
-	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -199,18 +199,6 @@
 	return c.forwardEvents(q, a, nil)
 }
 
-// endOfEvents returns the length of the whole events at the start of a part of a stream. Each ends
-// with a blank line.
-func endOfEvents(b []byte) int {
-	end := 0
-	for _, blank := range []string{"\n\n", "\n\r\n"} {
-		if i := bytes.LastIndex(b, []byte(blank)); i >= 0 {
-			end = max(end, i+len(blank))
-		}
-	}
-	return end
-}
-
 // forwardEvents writes events to the caller and flushes them.
 func (c *Carrier) forwardEvents(q *request, a *answer, events []byte) error {
 	if !q.events.started {
@@ -225,9 +213,10 @@
 	}
 	a.hasEvents = true
 	c.recordOutcome(q, a, OutcomeGood)
-	if id := lastEventID(events); id != "" {
-		q.events.lastID = id
+	if first, last := eventIDs(events); last != "" {
+		q.events.lastID = last
 		q.events.writes++
+		a.firstID, a.lastID = cmp.Or(a.firstID, first), last
 		a.writes++
 	}
 	if _, err := q.w.Write(events); err != nil {
@@ -238,18 +227,3 @@
 	}
 	return nil
 }
-
-// lastEventID returns the id of the last event that has one, or an empty string.
-func lastEventID(events []byte) string {
-	i := bytes.LastIndex(events, []byte("\nid:"))
-	switch {
-	case i >= 0:
-		events = events[i+len("\nid:"):]
-	case bytes.HasPrefix(events, []byte("id:")):
-		events = events[len("id:"):]
-	default:
-		return ""
-	}
-	line, _, _ := bytes.Cut(events, []byte("\n"))
-	return string(bytes.TrimSpace(line))
-}
--- /dev/null
+++ b/internal/traffic/carrier/event.go
@@ -0,0 +1,56 @@
+package carrier
+
+import "bytes"
+
+// endOfEvents returns the length of the whole events at the start of a part of a stream. Each ends
+// with a blank line.
+func endOfEvents(b []byte) int {
+	end := 0
+	for _, blank := range []string{"\n\n", "\n\r\n"} {
+		if i := bytes.LastIndex(b, []byte(blank)); i >= 0 {
+			end = max(end, i+len(blank))
+		}
+	}
+	return end
+}
+
+// cutEvent returns the first of whole events, and the events after it.
+func cutEvent(events []byte) (event, rest []byte) {
+	for i := bytes.IndexByte(events, '\n') + 1; i > 0 && i < len(events); {
+		line, _, found := bytes.Cut(events[i:], []byte("\n"))
+		i += len(line) + 1
+		if !found {
+			break
+		}
+		if len(bytes.TrimSuffix(line, []byte("\r"))) == 0 {
+			return events[:i], events[i:]
+		}
+	}
+	return events, nil
+}
+
+// eventID returns the id of an event, or an empty string if it has none.
+func eventID(event []byte) string {
+	id := ""
+	for line := range bytes.Lines(event) {
+		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(v))
+		}
+	}
+	return id
+}
+
+// eventIDs returns the ids of the first and the last of whole events that have one.
+func eventIDs(events []byte) (first, last string) {
+	for len(events) > 0 {
+		var event []byte
+		event, events = cutEvent(events)
+		if id := eventID(event); id != "" {
+			last = id
+			if first == "" {
+				first = id
+			}
+		}
+	}
+	return first, last
+}
--- /dev/null
+++ b/internal/traffic/carrier/event_test.go
@@ -0,0 +1,22 @@
+package carrier
+
+import "testing"
+
+func TestEventIDs(t *testing.T) {
+	for _, tc := range []struct {
+		name, events, first, last string
+	}{
+		{"one", "id: 1\ndata: a\n\n", "1", "1"},
+		{"two", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "1", "2"},
+		{"carriage returns", "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", "1", "2"},
+		{"id after another field", "event: x\nid:7\n\n", "7", "7"},
+		{"some without an id", ": comment\n\nid: 3\ndata: a\n\ndata: b\n\n", "3", "3"},
+		{"id within data", "data: id: 4\n\n", "", ""},
+		{"blank lines before", "\n\nid: 5\ndata: a\n\n", "5", "5"},
+		{"none", "", "", ""},
+	} {
+		if first, last := eventIDs([]byte(tc.events)); first != tc.first || last != tc.last {
+			t.Errorf("%s: got ids %q to %q, want %q to %q", tc.name, first, last, tc.first, tc.last)
+		}
+	}
+}
