--- a/internal/standin/responder/answer.go
+++ b/internal/standin/responder/answer.go
@@ -66,6 +66,12 @@
 	case FaultError:
 		writeString(c, e.formatHead(id, 500, "Content-Length: 5\r\n")+"wrong")
 		return true
+	case FaultReject:
+		writeString(c, e.formatHead(id, 409, "Content-Length: 8\r\n")+"conflict")
+		return true
+	case FaultOtherAnswer:
+		writeString(c, e.formatHead(id, 200, "Content-Type: application/json\r\nContent-Length: 6\r\n")+"{}\r\n\r\n")
+		return true
 	case FaultForeign:
 		writeString(c, e.formatHead("other", 200, "Content-Length: 5\r\n")+"other")
 	case FaultRepeatedRefusal:
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -66,6 +66,10 @@
 	FaultEndlessForeign
 	// FaultEndlessEvent sends one event of a stream without end.
 	FaultEndlessEvent
+	// FaultReject runs the request and answers 409 with a body.
+	FaultReject
+	// FaultOtherAnswer runs the request and answers 200 with a body that is not a stream.
+	FaultOtherAnswer
 	// FaultTrickle stalls a stream in the middle and then sends single bytes that never
 	// complete an event.
 	FaultTrickle
