Continue a stream only with the answer of a stream

Cause: an attempt at a begun stream delivered any answer with a status below 500 as an answer of its own. What joins a begun answer was believed of the endpoint, not checked.

Now an answer goes on with a stream only if it has status 200 and the media type and content coding of the header that the caller has. Anything else is a failed attempt: it counts against the endpoint and the release, another endpoint may be tried, and else the caller's connection is closed. No refusal is written after a header any more; the server discarded it so far, with a line in its log.

--- a/internal/traffic/carrier/deliver.go
+++ b/internal/traffic/carrier/deliver.go
@@ -35,8 +35,14 @@
 	writes int
 }
 
-// deliverAnswer sends an answer to the caller, as a stream or in one piece.
+// deliverAnswer sends an answer to the caller, as a stream or in one piece. Of a stream that has begun it
+// only sends a continuation.
 func (c *Carrier) deliverAnswer(ctx context.Context, q *request, a *answer) error {
+	if q.events.started {
+		if err := a.checkContinuation(q); err != nil {
+			return c.rejectContinuation(q, a, err)
+		}
+	}
 	if q.route.Kind == registrar.KindStream && a.res.StatusCode == http.StatusOK {
 		return c.relayStream(ctx, q, a)
 	}
