Send only events that follow the last one of the stream

What callers saw: a stream broke off after event 4, the endpoint that was to resume it began again, and events 1 to 4 came a second time: their numbers went back (ORDER). If it went on with event 6, event 5 was missing from a stream that ended as complete. A caller that resumed a stream itself could get the events that it had.

Each event is now compared with the last one that the caller has, over all attempts and from the id with which the caller itself resumed. Numbers have to rise; where an endpoint joins a stream that left none out, it has to go on with the next one, and its first data needs an id. The events before the fault are still sent.

--- a/internal/standin/responder/answer.go
+++ b/internal/standin/responder/answer.go
@@ -148,6 +148,12 @@
 
 func (e *Endpoint) writeStream(c net.Conn, n int, id string, fault Fault) bool {
 	from := e.Runs()[n].From
+	switch fault {
+	case FaultRestart:
+		from = 0
+	case FaultSkip:
+		from++
+	}
 	if fault == FaultUnframed || fault == FaultUnframedCut || fault == FaultUnframedEmpty {
 		e.writeUnframedStream(c, id, from, fault)
 		return false
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -70,6 +70,10 @@
 	FaultReject
 	// FaultOtherAnswer runs the request and answers 200 with a body that is not a stream.
 	FaultOtherAnswer
+	// FaultRestart streams from the first event on, also to a caller that has some already.
+	FaultRestart
+	// FaultSkip leaves out the first event of a stream.
+	FaultSkip
 	// FaultTrickle stalls a stream in the middle and then sends single bytes that never
 	// complete an event.
 	FaultTrickle
--- a/internal/traffic/carrier/attempt.go
+++ b/internal/traffic/carrier/attempt.go
@@ -79,7 +79,7 @@
 		t := time.AfterFunc(p, cancel)
 		defer t.Stop()
 	}
-	a := &answer{c: c, ctx: actx, cancel: cancel, span: span, choice: ch, sentAt: time.Now(), from: cmp.Or(q.events.lastID, q.LastEvent)}
+	a := &answer{c: c, ctx: actx, cancel: cancel, span: span, choice: ch, sentAt: time.Now(), from: q.events.order.lastID}
 	a.attempt = c.cfg.Chooser.Start(q.query, ch)
 	err := a.connect(q)
 	if err == nil {
@@ -152,7 +152,7 @@
 // requestHeader returns the request line and header fields, with spare capacity for
 // the body.
 func (a *answer) requestHeader(q *request) []byte {
-	g := Grant{TimeLeft: time.Until(q.expiry), Organisation: q.org.Name, Instance: a.choice.Endpoint.ID, LastEvent: q.events.lastID}
+	g := Grant{TimeLeft: time.Until(q.expiry), Organisation: q.org.Name, Instance: a.choice.Endpoint.ID, LastEvent: q.events.order.lastID}
 	h := a.c.cfg.Codec.Encode(q.Call, g)
 	a.c.cfg.Tracer.Propagation.Inject(a.ctx, propagation.HeaderCarrier(h))
 	b := bytes.NewBuffer(make([]byte, 0, 1024+len(q.body)))
--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -228,6 +228,9 @@
 	if err := c.checkQuarantine(q); err != nil {
 		return err
 	}
+	if q.route.IsRepeatable() {
+		q.events.order.lastID = q.LastEvent
+	}
 	q.expiry = q.start.Add(q.timeout())
 	q.query = chooser.Query{
 		Service: q.service.Name, PromptTokens: q.Prompt, MaxOutputTokens: q.Output, PromptBlocks: q.Parts, AllowsRelease: c.cfg.Trials.AllowedReleases(q.service.Name, q.ID),
--- a/internal/traffic/carrier/deliver.go
+++ b/internal/traffic/carrier/deliver.go
@@ -29,8 +29,8 @@
 // streamProgress is how much of a stream was sent to the caller.
 type streamProgress struct {
 	started bool
-	// lastID is the id of the last event that was sent.
-	lastID string
+	// order is that of the events that the caller has, those of a stream that it resumes included.
+	order eventOrder
 	// writes counts the writes that held at least one event with an id.
 	writes int
 }
@@ -176,7 +176,7 @@
 		if whole > 0 {
 			// Only whole events restart the timer, not the bytes of an incomplete one.
 			silenceTimeout.Reset(q.silenceTimeout())
-			if werr := c.forwardEvents(q, a, buf[:whole]); werr != nil {
+			if werr := c.admitEvents(q, a, buf[:whole]); werr != nil {
 				return werr
 			}
 			buf = append(buf[:0], buf[whole:]...)
@@ -202,11 +202,23 @@
 		return nil
 	}
 	// A stream that is resumed after its last event has a header and no events.
-	return c.forwardEvents(q, a, nil)
+	return c.forwardEvents(q, a, nil, admission{})
+}
+
+// admitEvents forwards the events that may follow those that the caller has, and returns an error if one
+// may not.
+func (c *Carrier) admitEvents(q *request, a *answer, events []byte) error {
+	done, err := q.events.order.admit(events, a.from != "" && a.lastID == "")
+	if done.length > 0 {
+		if werr := c.forwardEvents(q, a, events[:done.length], done); werr != nil {
+			return werr
+		}
+	}
+	return err
 }
 
 // forwardEvents writes events to the caller and flushes them.
-func (c *Carrier) forwardEvents(q *request, a *answer, events []byte) error {
+func (c *Carrier) forwardEvents(q *request, a *answer, events []byte, done admission) error {
 	if !q.events.started {
 		q.events.started = true
 		q.status = a.res.StatusCode
@@ -219,10 +231,9 @@
 	}
 	a.hasEvents = true
 	c.recordOutcome(q, a, OutcomeGood)
-	if first, last := eventIDs(events); last != "" {
-		q.events.lastID = last
+	if done.lastID != "" {
 		q.events.writes++
-		a.firstID, a.lastID = cmp.Or(a.firstID, first), last
+		a.firstID, a.lastID = cmp.Or(a.firstID, done.firstID), done.lastID
 		a.writes++
 	}
 	if _, err := q.w.Write(events); err != nil {
--- a/internal/traffic/carrier/event.go
+++ b/internal/traffic/carrier/event.go
@@ -40,17 +40,12 @@
 	return id
 }
 
-// eventIDs returns the ids of the first and the last of whole events that have one.
-func eventIDs(events []byte) (first, last string) {
-	for len(events) > 0 {
-		var event []byte
-		event, events = cutEvent(events)
-		if id := eventID(event); id != "" {
-			last = id
-			if first == "" {
-				first = id
-			}
+// hasData reports whether an event has a field with data.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, []byte("data")) {
+			return true
 		}
 	}
-	return first, last
+	return false
 }
--- a/internal/traffic/carrier/event_test.go
+++ b/internal/traffic/carrier/event_test.go
@@ -15,8 +15,9 @@
 		{"blank lines before", "\n\nid: 5\ndata: a\n\n", "5", "5"},
 		{"none", "", "", ""},
 	} {
-		if first, last := eventIDs([]byte(tc.events)); first != tc.first || last != tc.last {
-			t.Errorf("%s: got ids %q to %q, want %q to %q", tc.name, first, last, tc.first, tc.last)
+		var o eventOrder
+		if got, err := o.admit([]byte(tc.events), false); err != nil || got.firstID != tc.first || got.lastID != tc.last {
+			t.Errorf("%s: got ids %q to %q (%v), want %q to %q", tc.name, got.firstID, got.lastID, err, tc.first, tc.last)
 		}
 	}
 }
--- /dev/null
+++ b/internal/traffic/carrier/order.go
@@ -0,0 +1,82 @@
+package carrier
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+// errEventOrder means that an event does not follow those that the caller has.
+var errEventOrder = errors.New("event out of order")
+
+// eventOrder follows the ids of the events of one stream that the caller has, over all attempts. Ids that
+// are numbers rise from event to event.
+type eventOrder struct {
+	// lastID is the id of the last event with an id; empty if there is none.
+	lastID string
+	// steps counts the events whose number was the next one, and jumps those that left numbers out.
+	steps, jumps int
+}
+
+// admission is the part of some events that may follow those that the caller has.
+type admission struct {
+	// length is the length of these events in bytes.
+	length int
+	// firstID and lastID are the ids of the first and the last of them that have one.
+	firstID, lastID string
+}
+
+// admit finds how many whole events may follow those that the caller has, and returns an error for the
+// first that may not. joins says that they begin what an endpoint sent to resume the stream.
+func (o *eventOrder) admit(events []byte, joins bool) (admission, error) {
+	var done admission
+	for len(events) > 0 {
+		event, rest := cutEvent(events)
+		id := eventID(event)
+		if err := o.follow(id, hasData(event), joins); err != nil {
+			return done, err
+		}
+		done.length += len(event)
+		events = rest
+		if id == "" {
+			continue
+		}
+		joins = false
+		done.lastID = id
+		if done.firstID == "" {
+			done.firstID = id
+		}
+	}
+	return done, nil
+}
+
+// follow records that the caller gets an event with an id, or an empty one, and returns an error if the
+// event cannot follow those before.
+func (o *eventOrder) follow(id string, hasData, joins bool) error {
+	if id == "" {
+		if joins && hasData {
+			return fmt.Errorf("%w: one without an id after %q", errEventOrder, o.lastID)
+		}
+		return nil
+	}
+	next, isNumber := number(id)
+	last, wasNumber := number(o.lastID)
+	switch {
+	case id == o.lastID || isNumber && wasNumber && next <= last:
+		return fmt.Errorf("%w: %q after %q", errEventOrder, id, o.lastID)
+	case isNumber && (wasNumber || o.lastID == "") && next == last+1:
+		o.steps++
+	case joins && o.steps > 0 && o.jumps == 0:
+		return fmt.Errorf("%w: %q after %q of a stream that left no number out", errEventOrder, id, o.lastID)
+	case o.lastID != "":
+		o.jumps++
+	}
+	o.lastID = id
+	return nil
+}
+
+// number returns the number that an id is; false if it is none.
+func number(id string) (uint64, bool) {
+	n, err := strconv.ParseUint(id, 10, 64)
+	return n, err == nil
+}
