Send only lines of events from the body of a stream

What callers saw: an endpoint failed in the middle of a stream without a length, and wrote the head and the text of an error into the same connection.

Only blank lines were looked for.

Each line of an event has to be a field or a comment. What is neither is not sent, and the attempt fails like one that broke off.

--- a/internal/standin/responder/answer.go
+++ b/internal/standin/responder/answer.go
@@ -137,6 +137,10 @@
 	}
 	for i := from + 1; i <= e.cfg.Events; i++ {
 		event := Event(i)
+		if fault == FaultErrorInside && i > (from+e.cfg.Events)/2 {
+			writeString(c, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nwrong")
+			return
+		}
 		if fault == FaultUnframedCut && i > (from+e.cfg.Events)/2 {
 			writeString(c, event[:len(event)/2])
 			return
@@ -154,7 +158,8 @@
 	case FaultSkip:
 		from++
 	}
-	if fault == FaultUnframed || fault == FaultUnframedCut || fault == FaultUnframedEmpty {
+	switch fault {
+	case FaultUnframed, FaultUnframedCut, FaultUnframedEmpty, FaultErrorInside:
 		e.writeUnframedStream(c, id, from, fault)
 		return false
 	}
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -70,6 +70,8 @@
 	FaultReject
 	// FaultOtherAnswer runs the request and answers 200 with a body that is not a stream.
 	FaultOtherAnswer
+	// FaultErrorInside sends a stream without a length, and in its middle a whole answer with status 500.
+	FaultErrorInside
 	// FaultRestart streams from the first event on, also to a caller that has some already.
 	FaultRestart
 	// FaultSkip leaves out the first event of a stream.
--- a/internal/traffic/carrier/event.go
+++ b/internal/traffic/carrier/event.go
@@ -1,6 +1,9 @@
 package carrier
 
-import "bytes"
+import (
+	"bytes"
+	"unicode"
+)
 
 // endOfEvents returns the length of the whole events at the start of a part of a stream. Each ends
 // with a blank line.
@@ -49,3 +52,29 @@
 	}
 	return false
 }
+
+// isEvent reports whether the lines of an event are fields or comments. The names of fields are words; a
+// line that is a name alone is a field without a value.
+func isEvent(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		name, _, hasValue := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if bytes.IndexFunc(name, isNotWord) >= 0 || !hasValue && !isStandardField(string(name)) {
+			return false
+		}
+	}
+	return true
+}
+
+func isNotWord(r rune) bool {
+	return r != '-' && r != '_' && !unicode.IsLetter(r) && !unicode.IsDigit(r)
+}
+
+// isStandardField reports whether a line is a blank one, or the name of a field that the standard of
+// server-sent events defines.
+func isStandardField(name string) bool {
+	switch name {
+	case "", "data", "event", "id", "retry":
+		return true
+	}
+	return false
+}
--- a/internal/traffic/carrier/event_test.go
+++ b/internal/traffic/carrier/event_test.go
@@ -21,3 +21,24 @@
 		}
 	}
 }
+
+// Bytes that an endpoint sends in the body of a stream and that are no event must not reach the caller.
+func TestIsEvent(t *testing.T) {
+	for text, want := range map[string]bool{
+		"id: 1\ndata: a\n\n":                     true,
+		"data:a\r\n\r\n":                         true,
+		"data\n\n":                               true,
+		": comment, with: a colon\n\n":           true,
+		"weight-versions: 3\nid: 1\ndata: a\n\n": true,
+		"\n\n":                                   true,
+		"wrong\n\n":                              false,
+		"{\"error\": 1}\n\n":                     false,
+		"HTTP/1.1 500 Internal Server Error\r\n\r\n": false,
+		"id: 1\ndata: a\nHTTP/1.1 200 OK\n\n":        false,
+		"<html>\n\n":                                 false,
+	} {
+		if got := isEvent([]byte(text)); got != want {
+			t.Errorf("%q: got %t, want %t", text, got, want)
+		}
+	}
+}
--- a/internal/traffic/carrier/order.go
+++ b/internal/traffic/carrier/order.go
@@ -9,6 +9,9 @@
 // errEventOrder means that an event does not follow those that the caller has.
 var errEventOrder = errors.New("event out of order")
 
+// errNoEvent means that bytes in the body of a stream are no event.
+var errNoEvent = errors.New("bytes that are no event")
+
 // eventOrder follows the ids of the events of one stream that the caller has, over all attempts. Ids that
 // are numbers rise from event to event.
 type eventOrder struct {
@@ -32,6 +35,9 @@
 	var done admission
 	for len(events) > 0 {
 		event, rest := cutEvent(events)
+		if !isEvent(event) {
+			return done, errNoEvent
+		}
 		id := eventID(event)
 		if err := o.follow(id, hasData(event), joins); err != nil {
 			return done, err
