State no length of a stream that another endpoint may go on with

What callers saw: the first endpoint stated a length and broke off; the next one went on with more bytes than were left of it. The answer ended, complete by its length, in the middle of the stream (ORDER).

Cause: the same class: the length that one endpoint stated was believed of the bytes of two.

A stream that may be resumed is sent in chunks, whose end is written only when an endpoint has completed it. Streams of one endpoint keep their length.

--- a/internal/standin/responder/answer.go
+++ b/internal/standin/responder/answer.go
@@ -159,6 +159,12 @@
 		from++
 	}
 	switch fault {
+	case FaultWrongLength:
+		half := (from + e.cfg.Events) / 2
+		length := len(Stream(half+1)) - len(Stream(from))
+		writeString(c, e.formatHead(id, 200, fmt.Sprintf("Content-Type: text/event-stream\r\nContent-Length: %d\r\n", length)))
+		writeString(c, Stream(half)[len(Stream(from)):])
+		return false
 	case FaultUnframed, FaultUnframedCut, FaultUnframedEmpty, FaultErrorInside:
 		e.writeUnframedStream(c, id, from, fault)
 		return false
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -72,6 +72,9 @@
 	FaultOtherAnswer
 	// FaultErrorInside sends a stream without a length, and in its middle a whole answer with status 500.
 	FaultErrorInside
+	// FaultWrongLength states a length that one more event than it sends has, and closes the connection
+	// in the middle of the stream.
+	FaultWrongLength
 	// FaultRestart streams from the first event on, also to a caller that has some already.
 	FaultRestart
 	// FaultSkip leaves out the first event of a stream.
--- a/internal/traffic/carrier/deliver.go
+++ b/internal/traffic/carrier/deliver.go
@@ -223,7 +223,8 @@
 		q.events.started = true
 		q.status = a.res.StatusCode
 		copyHeader(q.w.Header(), a.res)
-		if a.res.ContentLength >= 0 {
+		if a.res.ContentLength >= 0 && !q.route.IsRepeatable() {
+			// What another endpoint goes on with may have another length.
 			q.w.Header().Set("Content-Length", strconv.FormatInt(a.res.ContentLength, 10))
 		}
 		q.w.WriteHeader(a.res.StatusCode)
