Hold no request for the body of a refusal that does not come

What callers saw: an endpoint refused a request with a head that announced a body, and sent none. The request stayed with its daemon, past its deadline, for as long as the endpoint kept the connection open; no other endpoint was tried, and a request that its caller had left went on as well (LOST; also one that is counted as in flight at a stop).

Cause: after the head of a refusal its body is read so that the connection can be used again, and by then the interrupt of the attempt had been taken off the connection.

Reading on only saves a connection, so what has not arrived within 100 ms is given up with the connection. The same holds for answers that cannot continue a stream.

--- a/internal/standin/responder/answer.go
+++ b/internal/standin/responder/answer.go
@@ -43,6 +43,12 @@
 		writeString(c, e.formatHead(id, 503, "Pomelotiller-Not-Executed: 1\r\nContent-Length: 0\r\n"))
 		return true
 	}
+	if fault == FaultStalledRefusal {
+		writeString(c, e.formatHead(id, 503, "Pomelotiller-Not-Executed: 1\r\nContent-Length: 9\r\n"))
+		// Peek returns when the caller closes the connection.
+		_, _ = r.Peek(1)
+		return false
+	}
 	n := e.recordRun(req, string(b))
 	return e.executeRun(c, r, n, id, fault)
 }
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -25,6 +25,8 @@
 	// FaultRefuse answers 503 without running the request, as an endpoint without free
 	// capacity does.
 	FaultRefuse
+	// FaultStalledRefusal is like FaultRefuse, and the body that the refusal announces never comes.
+	FaultStalledRefusal
 	// FaultError runs the request and answers 500.
 	FaultError
 	// FaultReset runs the request and resets the connection without an answer.
--- a/internal/traffic/carrier/attempt.go
+++ b/internal/traffic/carrier/attempt.go
@@ -34,6 +34,8 @@
 	// maxInlineBodyBytes is the largest request body that is written before the
 	// answer is read, and bounds what drainBody reads.
 	maxInlineBodyBytes = 4 << 10
+	// drainTimeout bounds the time in which drainBody reads.
+	drainTimeout = 100 * time.Millisecond
 	// maxHeaderBytes bounds the bytes read before the body of an answer, including
 	// interim (1xx) answers.
 	maxHeaderBytes = 64 << 10
@@ -260,8 +262,11 @@
 // no requests for some time. Such an answer does not count against its health.
 var errPaused = errors.New("refused by the endpoint, which takes no requests for a while")
 
-// drainBody reads a short body to its end, so that the connection can be reused.
+// drainBody reads a short body that has arrived to its end, so that the connection can be reused.
 func (a *answer) drainBody(r chooser.Result) {
+	if err := a.conn.SetReadDeadline(time.Now().Add(drainTimeout)); err != nil {
+		return
+	}
 	b, err := io.ReadAll(io.LimitReader(a.res.Body, maxInlineBodyBytes))
 	if err == nil && len(b) < maxInlineBodyBytes {
 		a.finish(r, true)
--- a/internal/traffic/carrier/continuation.go
+++ b/internal/traffic/carrier/continuation.go
@@ -36,9 +36,7 @@
 // rejectContinuation ends an attempt whose answer cannot continue the stream, and returns why.
 func (c *Carrier) rejectContinuation(q *request, a *answer, err error) error {
 	c.recordOutcome(q, a, OutcomeFailed)
-	stop := a.interruptOnCancel()
 	a.drainBody(chooser.ResultFailed)
-	stop()
 	a.finish(chooser.ResultFailed, false)
 	err = &attemptError{maybeSent: true, reason: "answer does not continue the stream", err: err}
 	c.logAttempt(q, a, err)
