Take an answer without a length from a process that has ended as broken off

What callers saw: an endpoint process was killed while it sent a stream without a length or chunks. A route that may be repeated did not try another endpoint.

Cause: the end of the connection was taken as the end of the answer. The system closes the connections of a process that is killed as that process would have done.

After such an answer the daemon connects to the endpoint once, for at most 250 ms. If the connection is refused, the process has ended and the answer counts as broken off. An endpoint that goes on running and ends a stream early between two events is not found.

--- a/internal/standin/responder/answer.go
+++ b/internal/standin/responder/answer.go
@@ -110,6 +110,11 @@
 	case FaultUnframed:
 		writeString(c, e.formatHead(id, 200, "")+Plain)
 		return false
+	case FaultUnframedKill:
+		writeString(c, e.formatHead(id, 200, "")+Plain[:7])
+		// An error means that the endpoint is closed already.
+		_ = e.Close()
+		return false
 	case FaultUnframedReset:
 		writeString(c, e.formatHead(id, 200, "")+Plain[:7])
 		resetConn(c)
@@ -143,6 +148,11 @@
 	}
 	for i := from + 1; i <= e.cfg.Events; i++ {
 		event := Event(i)
+		if fault == FaultUnframedKill && i > (from+e.cfg.Events)/2 {
+			// An error means that the endpoint is closed already.
+			_ = e.Close()
+			return
+		}
 		if fault == FaultErrorInside && i > (from+e.cfg.Events)/2 {
 			writeString(c, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nwrong")
 			return
@@ -171,7 +181,7 @@
 		writeString(c, e.formatHead(id, 200, fmt.Sprintf("Content-Type: text/event-stream\r\nContent-Length: %d\r\n", length)))
 		writeString(c, Stream(half)[len(Stream(from)):])
 		return false
-	case FaultUnframed, FaultUnframedCut, FaultUnframedEmpty, FaultErrorInside:
+	case FaultUnframed, FaultUnframedCut, FaultUnframedKill, FaultUnframedEmpty, FaultErrorInside:
 		e.writeUnframedStream(c, id, from, fault)
 		return false
 	}
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -52,6 +52,9 @@
 	// FaultUnframedCut answers without a length and closes the connection in the middle of an event
 	// of a stream.
 	FaultUnframedCut
+	// FaultUnframedKill answers without a length, and the endpoint ends in the middle of the body, between
+	// two events of a stream: it closes its listener and all connections, as a killed process does.
+	FaultUnframedKill
 	// FaultUnframedEmpty answers with the header of a stream without a length, and closes the
 	// connection before its first event.
 	FaultUnframedEmpty
--- a/internal/traffic/carrier/account.go
+++ b/internal/traffic/carrier/account.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -115,17 +114,6 @@
 	return fields
 }
 
-// framing returns what marks the end of an answer: its length, its last chunk or the end of the connection.
-func framing(res *http.Response) string {
-	switch {
-	case len(res.TransferEncoding) > 0:
-		return "chunks"
-	case res.ContentLength >= 0:
-		return "length"
-	}
-	return "close"
-}
-
 // blockIDs returns the ids of prompt blocks, separated by commas.
 func blockIDs(blocks []chooser.PromptBlock) string {
 	ids := make([]string, len(blocks))
--- a/internal/traffic/carrier/deliver.go
+++ b/internal/traffic/carrier/deliver.go
@@ -20,6 +20,8 @@
 	// buffers it before sending any of it, so that it can still retry or refuse the
 	// request if the endpoint breaks off.
 	maxBufferedAnswerBytes = 1 << 20
+	// endCheckTimeout bounds the check of the end of an answer without a length or chunks.
+	endCheckTimeout = 250 * time.Millisecond
 	// streamBufferBytes is the initial buffer size for the events of a stream.
 	streamBufferBytes = 16 << 10
 	// maxEventBytes is the largest event of a stream.
@@ -92,7 +94,21 @@
 	if len(b) > maxBufferedAnswerBytes {
 		return nil, errors.New("answer is over the size limit")
 	}
-	return b, nil
+	return b, a.checkEnd()
+}
+
+// checkEnd returns an error if the end of the connection ended the answer and its endpoint refuses
+// connections: a process that is killed closes its connections like one that has sent all.
+func (a *answer) checkEnd() error {
+	if framing(a.res) != framingClose {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(a.ctx, endCheckTimeout)
+	defer cancel()
+	if !a.c.cfg.Pool.IsRefused(ctx, dialer.Target{Address: a.choice.Endpoint.Address, Instance: a.choice.Endpoint.ID}) {
+		return nil
+	}
+	return fmt.Errorf("endpoint ended with its answer: %w", io.ErrUnexpectedEOF)
 }
 
 // interruptOnCancel makes reads and writes on the connection fail once the attempt's
@@ -194,10 +210,12 @@
 // returns an error if the answer was broken off: inside an event, or before its first one. Without a
 // length and chunks the end of the connection ends the answer, also if the endpoint broke off.
 func (c *Carrier) endStream(q *request, a *answer, rest []byte) error {
-	isFramed := a.res.ContentLength >= 0 || len(a.res.TransferEncoding) > 0
-	if len(rest) > 0 || !isFramed && !a.hasEvents {
+	if len(rest) > 0 || framing(a.res) == framingClose && !a.hasEvents {
 		return fmt.Errorf("stream ended inside an event: %w", io.ErrUnexpectedEOF)
 	}
+	if err := a.checkEnd(); err != nil {
+		return err
+	}
 	if q.events.started {
 		return nil
 	}
--- a/internal/traffic/dialer/dialer.go
+++ b/internal/traffic/dialer/dialer.go
@@ -149,6 +149,19 @@
 	}
 }
 
+// IsRefused reports whether a target refuses connections, as the address of a process that has ended does.
+// An open connection does not tell: those of a process that ends are closed one after the other.
+func (p *Pool) IsRefused(ctx context.Context, t Target) bool {
+	c, err := p.dialer.DialContext(ctx, "tcp", t.Address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	meter.AddToCounter(p.cfg.Registry, 1, "endpoint_connections_total")
+	// Nothing was sent on the connection, so an error of Close has no effect.
+	_ = c.Close()
+	return false
+}
+
 // takeIdle returns an idle connection. If there is none, it returns false and counts a new connection,
 // which the caller opens.
 func (p *Pool) takeIdle(t Target) (*Conn, bool, error) {
