--- a/internal/standin/responder/answer.go
+++ b/internal/standin/responder/answer.go
@@ -72,6 +72,10 @@
 	case FaultError:
 		writeString(c, e.formatHead(id, 500, "Content-Length: 5\r\n")+"wrong")
 		return true
+	case FaultHeadCut:
+		head := e.formatHead(id, 200, "Content-Type: text/event-stream\r\nContent-Length: 16\r\n")
+		writeString(c, head[:min(e.cfg.HeadBytes, len(head)-1)])
+		return false
 	case FaultReject:
 		writeString(c, e.formatHead(id, 409, "Content-Length: 8\r\n")+"conflict")
 		return true
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -84,6 +84,9 @@
 	FaultRestart
 	// FaultSkip leaves out the first event of a stream.
 	FaultSkip
+	// FaultHeadCut runs the request, sends Config.HeadBytes bytes of an answer's head and closes the
+	// connection.
+	FaultHeadCut
 	// FaultTrickle stalls a stream in the middle and then sends single bytes that never
 	// complete an event.
 	FaultTrickle
@@ -118,6 +121,8 @@
 	Events int
 	// Pause is the time before the answer and after each event.
 	Pause time.Duration
+	// HeadBytes is the number of bytes that FaultHeadCut sends.
+	HeadBytes int
 }
 
 // Endpoint is one simulated endpoint with its listener and its record of runs.
