Join to a begun answer only the token that follows the last one

What callers saw: an engine that answered a resume with 200 and started its answer again had its first tokens dropped and the rest joined to what the caller had: pieces of two runs in one stream, which ended as complete. The same within one answer whose token numbers went back, or that sent a token twice with different text.

Cause: any token numbered below the next one was taken as a repeat of what the caller had, whoever sent it and whatever it held. Only tokens that were missing were noticed.

A token must now be the next one of the answer, in the first piece of a resumed answer too. A piece that the engine sends twice in a row, byte for byte, is still skipped. Anything else fails the attempt, as a gap did.

TestWhatJoinsABegunAnswer printed before: starts again: got text "abCD", complete true (<nil>); want "ab", false starts one token early: got text "abCD", complete true (<nil>); want "ab", false goes back: got text "abcD", complete true (<nil>); want "abc", false repeats a token with another text: got text "abcD", complete true (<nil>); want "abc", false Its other cases (statuses, bodies that are no events, cuts, foreign ids) held before.

--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -156,11 +157,12 @@
 func (e *sinkError) Error() string { return e.err.Error() }
 func (e *sinkError) Unwrap() error { return e.err }
 
-// relayPieces copies the pieces of a stream to the sink until the end mark. It skips
-// tokens that an earlier attempt has relayed, and fails if a token is missing. Once it
-// has relayed the finish reason the answer is complete, however the connection ends.
-// It calls firstToken for each piece.
+// relayPieces copies the pieces of a stream to the sink until the end mark. It skips a
+// piece that the engine sends twice in a row, and fails if any other token is not the next
+// one of the answer. Once it has relayed the finish reason the answer is complete, however
+// the connection ends. It calls firstToken for each piece.
 func relayPieces(s inferrer.Stream, p *jobProgress, sink Sink, watch *watchdog, firstToken func()) error {
+	var last []byte
 	for {
 		e, err := s.Next()
 		if p.finished && (err != nil || len(e.Choices) > 0) {
@@ -172,10 +174,13 @@
 		if err != nil {
 			return err
 		}
-		watch.restart()
-		firstToken()
-		if err := relayPiece(e, p, sink); err != nil {
-			return err
+		if !bytes.Equal(e.Raw, last) {
+			watch.restart()
+			firstToken()
+			if err := relayPiece(e, p, sink); err != nil {
+				return err
+			}
+			last = append(last[:0], e.Raw...)
 		}
 		if s.HasBufferedChunk() && !p.finished {
 			continue
@@ -186,22 +191,21 @@
 	}
 }
 
-// relayPiece writes a piece to the sink if it is the next one.
+// relayPiece writes a piece to the sink if it is the next one. It skips pieces without a
+// token, but for the usage of a finished answer.
 func relayPiece(e inferrer.Piece, p *jobProgress, sink Sink) error {
-	isUsage := len(e.Choices) == 0 && e.Usage != nil
+	isToken := len(e.Choices) > 0
 	switch {
-	case isUsage && !p.finished:
-		return nil
-	case !isUsage && e.Token < p.nextToken:
+	case !isToken && (e.Usage == nil || !p.finished):
 		return nil
-	case !isUsage && (e.Token > p.nextToken || len(e.Choices) != 1):
+	case isToken && (e.Token != p.nextToken || len(e.Choices) != 1):
 		return fmt.Errorf("%w: got token %d with %d choices, want token %d with one",
 			inferrer.ErrTruncated, e.Token, len(e.Choices), p.nextToken)
 	}
 	if err := sink.Piece(e); err != nil {
 		return &sinkError{err}
 	}
-	if !isUsage {
+	if isToken {
 		p.recordRelayedToken(e.Choices[0].FinishReason != nil)
 	}
 	return nil
