Refuse tokens of a choice other than the first in an answer

What callers saw: an engine that sent chunks of the choice with index 1 had them joined to the answer of index 0, as if they were its next tokens; callers that ask for a complete answer got both texts in one.

Cause: the index of a choice was not read. It was believed that an engine which sends one choice a chunk sends the same one.

TestWhatJoinsABegunAnswer printed before: is another choice: got text "abcd", complete true (<nil>); want "ab", false

--- a/internal/remote/inferrer/inferrer.go
+++ b/internal/remote/inferrer/inferrer.go
@@ -96,6 +96,7 @@
 
 // PartialChoice holds the fields of a Choice that a Piece decodes.
 type PartialChoice struct {
+	Index        int     `json:"index"`
 	FinishReason *string `json:"finish_reason"`
 }
 
--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -198,9 +198,9 @@
 	switch {
 	case !isToken && (e.Usage == nil || !p.finished):
 		return nil
-	case isToken && (e.Token != p.nextToken || len(e.Choices) != 1):
-		return fmt.Errorf("%w: got token %d with %d choices, want token %d with one",
-			inferrer.ErrTruncated, e.Token, len(e.Choices), p.nextToken)
+	case isToken && (e.Token != p.nextToken || len(e.Choices) != 1 || e.Choices[0].Index != 0):
+		return fmt.Errorf("%w: got token %d with %d choices, the first with index %d; want token %d with the choice of index 0 alone",
+			inferrer.ErrTruncated, e.Token, len(e.Choices), e.Choices[0].Index, p.nextToken)
 	}
 	if err := sink.Piece(e); err != nil {
 		return &sinkError{err}
--- a/internal/traffic/relayer/joined_test.go
+++ b/internal/traffic/relayer/joined_test.go
@@ -106,6 +106,8 @@
 		{name: "has no token numbers", body: events(
 			`data: {"id":"ID","model":"`+testVersion+`","choices":[{"text":"c"}]}`+"\n\n", testEnd), want: "ab"},
 		{name: "is of another request", body: events(testEvent("other", 2, "c", ""), testEvent("other", 3, "d", "stop"), testEnd), want: "ab"},
+		{name: "is another choice", body: events(
+			strings.Replace(testEvent("ID", 2, "c", ""), `"index":0`, `"index":1`, 1), strings.Replace(testEvent("ID", 3, "d", "stop"), `"index":0`, `"index":1`, 1), testEnd), want: "ab"},
 		{name: "has two choices", body: events(
 			`data: {"id":"ID","model":"`+testVersion+`","token":2,"choices":[{"index":0,"text":"c"},{"index":1,"text":"e"}]}`+"\n\n", testEnd), want: "ab"},
 		{name: "finishes on a token that was relayed", body: events(testEvent("ID", 1, "b", "stop"), testEnd), want: "ab"},
