Take an empty finish reason as none

What callers saw: an engine that sends "finish_reason":"" with each token had its answer ended as complete, with [DONE], after the first token of the attempt.

Cause: any finish reason but null was taken as the end of the answer, and whatever came after it was dropped.

TestWhatJoinsABegunAnswer printed before: has an empty finish reason: got text "abc", complete true (<nil>); want "abcd", true ends after an empty finish reason: got text "abc", complete true (<nil>); want "abc", false

--- a/internal/remote/inferrer/inferrer.go
+++ b/internal/remote/inferrer/inferrer.go
@@ -100,6 +100,10 @@
 	FinishReason *string `json:"finish_reason"`
 }
 
+// IsLast reports whether the choice holds the last token of the answer. Some engines send an empty
+// finish reason with all others.
+func (c PartialChoice) IsLast() bool { return c.FinishReason != nil && *c.FinishReason != "" }
+
 // Chunk decodes all fields of the chunk.
 func (p Piece) Chunk() (Chunk, error) {
 	var c Chunk
--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -206,7 +206,7 @@
 		return &sinkError{err}
 	}
 	if isToken {
-		p.recordRelayedToken(e.Choices[0].FinishReason != nil)
+		p.recordRelayedToken(e.Choices[0].IsLast())
 	}
 	return nil
 }
--- a/internal/traffic/relayer/joined_test.go
+++ b/internal/traffic/relayer/joined_test.go
@@ -112,6 +112,10 @@
 			`data: {"id":"ID","model":"`+testVersion+`","token":2,"choices":[{"index":0,"text":"c"},{"index":1,"text":"e"}]}`+"\n\n", testEnd), want: "ab"},
 		{name: "finishes on a token that was relayed", body: events(testEvent("ID", 1, "b", "stop"), testEnd), want: "ab"},
 		{name: "ends without a finish reason", body: events(testEvent("ID", 2, "c", ""), testEnd), want: "abc"},
+		{name: "has an empty finish reason", body: events(
+			strings.Replace(testEvent("ID", 2, "c", ""), `"finish_reason":null`, `"finish_reason":""`, 1), testEvent("ID", 3, "d", "stop"), testEnd), want: "abcd", complete: true},
+		{name: "ends after an empty finish reason", body: events(
+			strings.Replace(testEvent("ID", 2, "c", ""), `"finish_reason":null`, `"finish_reason":""`, 1), testEnd), want: "abc"},
 		{name: "is empty", body: events(), want: "ab"},
 		{name: "has only an end mark", body: events(testEnd), want: "ab"},
 		{name: "is JSON", body: events(`{"id":"ID","choices":[{"index":0,"text":"cd","finish_reason":"stop"}]}` + "\n"), want: "ab"},
