Relay a token that comes after a finish reason

What callers saw: an engine that went on after a finish reason had its answer ended as complete, with [DONE], and its further tokens dropped; also where a gap or a token without a finish reason at the end showed that the answer was not whole.

Cause: once a finish reason was relayed, the next token of any kind was taken for the end. It was believed that nothing but a repeat could follow.

The answer is now complete if the last token relayed has a finish reason. A token after one is relayed as any other, and one that is not the next fails the attempt, which voids the finish reason.

TestWhatJoinsABegunAnswer printed before: goes on after a finish reason: got text "abc", complete true (<nil>); want "abcd", true ends on a token after a finish reason: got text "abc", complete true (<nil>); want "abcd", false skips a token after a finish reason: got text "abc", complete true (<nil>); want "abc", false

--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -159,13 +159,13 @@
 
 // relayPieces copies the pieces of a stream to the sink until the end mark. It skips a
 // piece that the engine sends twice in a row, and fails if any other token is not the next
-// one of the answer. Once it has relayed the finish reason the answer is complete, however
-// the connection ends. It calls firstToken for each piece.
+// one of the answer. Once the last token relayed has a finish reason the answer is
+// complete, however the connection ends. It calls firstToken for each piece.
 func relayPieces(s inferrer.Stream, p *jobProgress, sink Sink, watch *watchdog, firstToken func()) error {
 	var last []byte
 	for {
 		e, err := s.Next()
-		if p.finished && (err != nil || len(e.Choices) > 0) {
+		if p.finished && err != nil {
 			return nil
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/traffic/relayer/joined_test.go
+++ b/internal/traffic/relayer/joined_test.go
@@ -116,6 +116,12 @@
 			strings.Replace(testEvent("ID", 2, "c", ""), `"finish_reason":null`, `"finish_reason":""`, 1), testEvent("ID", 3, "d", "stop"), testEnd), want: "abcd", complete: true},
 		{name: "ends after an empty finish reason", body: events(
 			strings.Replace(testEvent("ID", 2, "c", ""), `"finish_reason":null`, `"finish_reason":""`, 1), testEnd), want: "abc"},
+		{name: "goes on after a finish reason", body: events(
+			testEvent("ID", 2, "c", "stop"), testEvent("ID", 3, "d", "stop"), testEnd), want: "abcd", complete: true},
+		{name: "ends on a token after a finish reason", body: events(
+			testEvent("ID", 2, "c", "stop"), testEvent("ID", 3, "d", ""), testEnd), want: "abcd"},
+		{name: "skips a token after a finish reason", body: events(
+			testEvent("ID", 2, "c", "stop"), testEvent("ID", 4, "e", "stop"), testEnd), want: "abc"},
 		{name: "is empty", body: events(), want: "ab"},
 		{name: "has only an end mark", body: events(testEnd), want: "ab"},
 		{name: "is JSON", body: events(`{"id":"ID","choices":[{"index":0,"text":"cd","finish_reason":"stop"}]}` + "\n"), want: "ab"},
@@ -151,7 +157,8 @@
 				writeStatus(w, r, max(tc.status, http.StatusOK), body)
 			}
 			b.relayer.cfg.ResumeTimeout = 500 * time.Millisecond
-			b.addScriptedEngine(t, cut, resumed)
+			onlyEnd := func(w http.ResponseWriter, r *http.Request) { writeStatus(w, r, http.StatusOK, testEnd) }
+			b.addScriptedEngine(t, cut, resumed, onlyEnd)
 			var sink textSink
 			err := b.relayer.Run(t.Context(), b.job("r"), &sink)
 			if got := sink.text.String(); got != tc.want || (err == nil) != tc.complete {
--- a/internal/traffic/relayer/progress.go
+++ b/internal/traffic/relayer/progress.go
@@ -22,8 +22,9 @@
 	version string
 	// nextToken is the number of the next token to relay to the caller.
 	nextToken int
-	finished  bool
-	runState  refuser.RunState
+	// finished reports that the last token relayed has a finish reason.
+	finished bool
+	runState refuser.RunState
 	// excluded holds the engines that failed in the current round.
 	excluded map[string]bool
 	// fruitlessAttempts counts the failed attempts since the last new token.
@@ -66,9 +67,11 @@
 	}
 }
 
-// recordFailure records the error of a failed attempt.
+// recordFailure records the error of a failed attempt. A finish reason that something
+// else than the end has followed is void.
 func (p *jobProgress) recordFailure(err error) {
 	p.lastErr = err
+	p.finished = false
 	if p.failingSince.IsZero() {
 		p.failingSince = time.Now()
 	}
