Continue an answer only with the model it began with

What callers saw: an engine that resumed an answer with another model than the one that had begun it, or changed its model in the middle, had its tokens joined to the other's. The caller could not notice: the route's name replaces the model in each event.

Cause: the version was asked for and what the engine reported was not compared.

The model of the first token is kept, and each further chunk must name the same. It is not compared with the version asked for, since engines may know a version by another name.

TestWhatJoinsABegunAnswer printed before: is of another model: got text "abcd", complete true (<nil>); want "ab", false changes its model: got text "abcd", complete true (<nil>); want "abc", false

--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -201,7 +201,10 @@
 	case isToken && (e.Token != p.nextToken || len(e.Choices) != 1 || e.Choices[0].Index != 0):
 		return fmt.Errorf("%w: got token %d with %d choices, the first with index %d; want token %d with the choice of index 0 alone",
 			inferrer.ErrTruncated, e.Token, len(e.Choices), e.Choices[0].Index, p.nextToken)
+	case p.hasBegun() && e.Model != p.model:
+		return fmt.Errorf("%w: got a chunk of model %q, the answer began with %q", inferrer.ErrForeignAnswer, e.Model, p.model)
 	}
+	p.model = e.Model
 	if err := sink.Piece(e); err != nil {
 		return &sinkError{err}
 	}
--- a/internal/traffic/relayer/joined_test.go
+++ b/internal/traffic/relayer/joined_test.go
@@ -105,6 +105,10 @@
 		{name: "skips a token", body: events(testEvent("ID", 3, "d", "stop"), testEnd), want: "ab"},
 		{name: "has no token numbers", body: events(
 			`data: {"id":"ID","model":"`+testVersion+`","choices":[{"text":"c"}]}`+"\n\n", testEnd), want: "ab"},
+		{name: "is of another model", body: events(
+			strings.Replace(testEvent("ID", 2, "c", ""), testVersion, "chat-v2", 1), strings.Replace(testEvent("ID", 3, "d", "stop"), testVersion, "chat-v2", 1), testEnd), want: "ab"},
+		{name: "changes its model", body: events(
+			testEvent("ID", 2, "c", ""), strings.Replace(testEvent("ID", 3, "d", "stop"), testVersion, "chat-v2", 1), testEnd), want: "abc"},
 		{name: "is of another request", body: events(testEvent("other", 2, "c", ""), testEvent("other", 3, "d", "stop"), testEnd), want: "ab"},
 		{name: "is another choice", body: events(
 			strings.Replace(testEvent("ID", 2, "c", ""), `"index":0`, `"index":1`, 1), strings.Replace(testEvent("ID", 3, "d", "stop"), `"index":0`, `"index":1`, 1), testEnd), want: "ab"},
--- a/internal/traffic/relayer/progress.go
+++ b/internal/traffic/relayer/progress.go
@@ -24,6 +24,9 @@
 	nextToken int
 	// finished reports that the last token relayed has a finish reason.
 	finished bool
+	// model is what the engine of the first token named as its model. It may be another
+	// name of the version.
+	model    string
 	runState refuser.RunState
 	// excluded holds the engines that failed in the current round.
 	excluded map[string]bool
