Relay the usage of an answer once

What callers saw: an engine that sent its usage twice had both relayed.

Cause: any chunk without choices that has a usage was relayed once the answer had its finish reason, however many came.

TestUsageComesOnce printed before: two of them: got text "ab", 2 usages, the last &{PromptTokens:5 ...}; want ab and the first one only

--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -196,7 +196,7 @@
 func relayPiece(e inferrer.Piece, p *jobProgress, sink Sink) error {
 	isToken := len(e.Choices) > 0
 	switch {
-	case !isToken && (e.Usage == nil || !p.finished):
+	case !isToken && (e.Usage == nil || !p.finished || p.hasUsage):
 		return nil
 	case isToken && (e.Token != p.nextToken || len(e.Choices) != 1 || e.Choices[0].Index != 0):
 		return fmt.Errorf("%w: got token %d with %d choices, the first with index %d; want token %d with the choice of index 0 alone",
@@ -208,6 +208,7 @@
 	if err := sink.Piece(e); err != nil {
 		return &sinkError{err}
 	}
+	p.hasUsage = !isToken
 	if isToken {
 		p.recordRelayedToken(e.Choices[0].IsLast())
 	}
--- a/internal/traffic/relayer/joined_test.go
+++ b/internal/traffic/relayer/joined_test.go
@@ -171,3 +171,44 @@
 		})
 	}
 }
+
+// countingSink counts the pieces without a token.
+type countingSink struct {
+	textSink
+	usages int
+}
+
+// Piece implements Sink.
+func (s *countingSink) Piece(e inferrer.Piece) error {
+	if len(e.Choices) == 0 {
+		s.usages++
+	}
+	return s.textSink.Piece(e)
+}
+
+// TestUsageComesOnce has an engine send the usage of an answer twice, in the same and in
+// different words, or each event twice. The caller must get it once.
+func TestUsageComesOnce(t *testing.T) {
+	first, last := testEvent("r", 0, "a", ""), testEvent("r", 1, "b", "stop")
+	usage := testUsage("r")
+	other := strings.Replace(usage, `"prompt_tokens":3`, `"prompt_tokens":5`, 1)
+	for _, tc := range []struct{ name, events string }{
+		{"once", first + last + usage},
+		{"repeated", first + last + usage + usage},
+		{"two of them", first + last + usage + other},
+		{"each event twice", first + first + last + last + usage + usage},
+		{"also before the last token", first + usage + last + usage},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newFixture(t, 0)
+			b.addScriptedEngine(t, func(w http.ResponseWriter, r *http.Request) {
+				writeStatus(w, r, http.StatusOK, tc.events+testEnd)
+			})
+			var sink countingSink
+			err := b.relayer.Run(t.Context(), b.job("r"), &sink)
+			if err != nil || sink.text.String() != "ab" || sink.usages != 1 || sink.usage.PromptTokens != 3 {
+				t.Errorf("got text %q, %d usages, the last %+v (%v); want ab and the first one only", sink.text.String(), sink.usages, sink.usage, err)
+			}
+		})
+	}
+}
--- a/internal/traffic/relayer/progress.go
+++ b/internal/traffic/relayer/progress.go
@@ -24,6 +24,8 @@
 	nextToken int
 	// finished reports that the last token relayed has a finish reason.
 	finished bool
+	// hasUsage reports that the usage was relayed after it.
+	hasUsage bool
 	// model is what the engine of the first token named as its model. It may be another
 	// name of the version.
 	model    string
