--- a/internal/traffic/relayer/joined_test.go
+++ b/internal/traffic/relayer/joined_test.go
@@ -54,8 +54,8 @@
 }
 
 // addScriptedEngine adds an engine whose n-th answer, from 0, is written by answers[n], and
-// which answers status 500 after these.
-func (b *fixture) addScriptedEngine(t *testing.T, answers ...http.HandlerFunc) {
+// which answers status 500 after these. It returns the engine's server.
+func (b *fixture) addScriptedEngine(t *testing.T, answers ...http.HandlerFunc) *httptest.Server {
 	t.Helper()
 	var served atomic.Int64
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -71,6 +71,7 @@
 	t.Cleanup(srv.Close)
 	t.Cleanup(srv.CloseClientConnections)
 	b.addEngine(srv.Listener.Addr().String())
+	return srv
 }
 
 // TestWhatJoinsABegunAnswer resumes an answer that broke off after two of four tokens with
