Send no status before the first event of a stream

What callers saw: where an engine's answer began with a chunk that callers do not get, such as an early usage, and then broke off, and no other engine could answer, the caller got status 200 with the refusal's problem document as its body, ended as a complete answer.

Cause: the stream was flushed after each chunk that the engine sent, also when none had been written. The first flush sends the head with status 200; the refusal that follows can only add its body to it.

TestAnswerThatBeganWithoutToken printed before: usage: got status 200, , body {"type":"about:blank","title":"unavailable","status":503,...}; want a refusal with status 503 and the same for a token with number -1, a chunk without choices and an error event with the request's id.

--- a/internal/traffic/listener/answer.go
+++ b/internal/traffic/listener/answer.go
@@ -106,8 +106,12 @@
 	return nil
 }
 
-// Flush implements relayer.Sink.
+// Flush implements relayer.Sink. Before the first event it does nothing, since a flush would
+// send status 200 and leave none for a refusal.
 func (s *eventSink) Flush() error {
+	if !s.headerSet {
+		return nil
+	}
 	if now := time.Now(); s.writeDeadline.Sub(now) < writeTimeout-writeDeadlineStep {
 		s.writeDeadline = now.Add(writeTimeout)
 		if err := s.controller.SetWriteDeadline(s.writeDeadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
