Fail an attempt at a chunk that reports an error

What callers saw: an engine that reports its failure in a last chunk, with an `error`, a text and a finish reason, had that text joined to the answer, which ended as complete with [DONE]. No other engine was asked to go on.

Cause: the member `error` of a chunk was not read; a chunk with a token and a finish reason was an end whatever else it said.

TestWhatJoinsABegunAnswer printed before: has an error in its last token: got text "abcoverloaded", complete true (<nil>); want "abc", false

--- a/internal/remote/inferrer/client.go
+++ b/internal/remote/inferrer/client.go
@@ -189,6 +189,9 @@
 		if err := json.Unmarshal(data, &c); err != nil {
 			return Piece{}, fmt.Errorf("%w: decode chunk: %w", ErrTruncated, err)
 		}
+		if c.Error != nil {
+			return Piece{}, fmt.Errorf("%w: engine reports an error: %s", ErrTruncated, *c.Error)
+		}
 		if c.ID != s.request {
 			return Piece{}, fmt.Errorf("%w: got chunk of %q, want %q", ErrForeignAnswer, c.ID, s.request)
 		}
--- a/internal/remote/inferrer/inferrer.go
+++ b/internal/remote/inferrer/inferrer.go
@@ -89,6 +89,8 @@
 	Token   int             `json:"token"`
 	Choices []PartialChoice `json:"choices"`
 	Usage   *Usage          `json:"usage"`
+	// Error is set if the engine reports that it failed after the answer began.
+	Error *json.RawMessage `json:"error"`
 	// Raw is the JSON of the chunk as the engine sent it. It is valid until the next call of the
 	// stream's Next.
 	Raw []byte `json:"-"`
--- a/internal/traffic/relayer/joined_test.go
+++ b/internal/traffic/relayer/joined_test.go
@@ -133,6 +133,10 @@
 		{name: "is an error in JSON", body: events(`{"error":{"message":"overloaded"}}` + "\n"), want: "ab"},
 		{name: "has an error event", body: events(`data: {"error":{"message":"overloaded"}}`+"\n\n", testEnd), want: "ab"},
 		{name: "has an error event with the id", body: events(`data: {"id":"ID","error":{"message":"overloaded"}}`+"\n\n", testEnd), want: "ab"},
+		{name: "has an error in its last token", body: events(testEvent("ID", 2, "c", ""),
+			strings.Replace(testEvent("ID", 3, "overloaded", "error"), `"choices"`, `"error":{"message":"overloaded"},"choices"`, 1), testEnd), want: "abc"},
+		{name: "has no error", body: events(testEvent("ID", 2, "c", ""),
+			strings.Replace(testEvent("ID", 3, "d", "stop"), `"choices"`, `"error":null,"choices"`, 1), testEnd), want: "abcd", complete: true},
 		{name: "has an error event after a token", body: events(
 			testEvent("ID", 2, "c", ""), `data: {"error":{"message":"overloaded"}}`+"\n\n", testEnd), want: "abc"},
 		{name: "is status 201", status: http.StatusCreated, body: events(testEvent("ID", 2, "c", ""), testEvent("ID", 3, "d", "stop"), testEnd), want: "ab"},
