Leave the body of an unfinished stream unended

What callers saw: a stream that could not be finished ended with an error event and a normal end of its body. A caller that reads the body to its end and does not look for [DONE] took the answer for complete, and HTTP said so.

Cause: the handler returned after the error event, upon which the server ends the chunked body.

The handler now flushes the event and aborts the connection. The request is still counted and its slot released. TestUnfinishedStream reads over TCP, as strict as before, and wants the body to break off. It printed without the fix: got error <nil> at the end of the body, want unexpected EOF

--- a/internal/traffic/listener/answer.go
+++ b/internal/traffic/listener/answer.go
@@ -140,6 +140,9 @@
 	Error refuser.Problem `json:"error"`
 }
 
+// streamAnswer relays the answer to a job as a stream. If the answer cannot be completed after
+// it has begun, streamAnswer panics with http.ErrAbortHandler, which closes the connection, so
+// that HTTP does not end the body as a complete one.
 func (l *Listener) streamAnswer(ctx context.Context, w http.ResponseWriter, job relayer.Job, t *admitter.Slot) {
 	sink := newEventSink(w, job)
 	err := l.cfg.Relayer.Run(ctx, job, tokenTimingSink{sink, t})
@@ -156,7 +159,9 @@
 	errors.As(err, &refusal)
 	if b, err := json.Marshal(streamErrorEvent{Error: refusal.Problem()}); err == nil {
 		_ = sink.writeEvent(b)
+		_ = sink.Flush()
 	}
+	panic(http.ErrAbortHandler)
 }
 
 // bufferingSink collects an answer for a caller that did not ask for a stream.
--- a/internal/traffic/listener/listener.go
+++ b/internal/traffic/listener/listener.go
@@ -119,7 +119,8 @@
 		ctx, span := l.cfg.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
 		sw := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		// Deferred, since a stream that cannot be completed ends with a panic.
+		defer func() { meter.AddToCounter(l.cfg.Registry, 1, "requests_total", "status", fmt.Sprint(sw.status)) }()
 		next.ServeHTTP(sw, r.WithContext(ctx))
-		meter.AddToCounter(l.cfg.Registry, 1, "requests_total", "status", fmt.Sprint(sw.status))
 	})
 }
--- a/internal/traffic/listener/listener_test.go
+++ b/internal/traffic/listener/listener_test.go
@@ -1,10 +1,8 @@
 package listener
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -18,7 +16,6 @@
 	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/standin/generator"
 	"pomelotiller/internal/traffic/admitter"
-	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/relayer"
 	"pomelotiller/internal/traffic/router"
 )
@@ -131,31 +128,3 @@
 		})
 	}
 }
-
-// TestUnfinishedStream checks that a stream that cannot be completed ends with an error event
-// and without the end marker.
-func TestUnfinishedStream(t *testing.T) {
-	g := generator.New(generator.Config{Versions: []string{testVersion}})
-	g.SetAnswerFaults(generator.AnswerFaults{Fault: generator.AnswerCut, After: 2, Count: 1})
-	engine := g.Handler()
-	cut := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasSuffix(r.URL.Path, "/resume") {
-			http.Error(w, "no resume", http.StatusInternalServerError)
-			return
-		}
-		engine.ServeHTTP(w, r)
-	})
-	w := postCompletion(t, newTestListener(t, cut), `{"model":"chat","stream":true,"messages":[]}`)
-	b, err := io.ReadAll(w.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	events := bytes.Split(bytes.TrimSpace(b), []byte("\n\n"))
-	var got streamErrorEvent
-	if err := json.Unmarshal(bytes.TrimPrefix(events[len(events)-1], []byte("data: ")), &got); err != nil {
-		t.Fatalf("last event %s: %v", events[len(events)-1], err)
-	}
-	if got.Error.Run != refuser.Ran.String() || got.Error.Status != http.StatusServiceUnavailable || len(events) != 3 {
-		t.Errorf("got %d events, the last %+v; want two tokens and a refusal of a request that ran", len(events), got)
-	}
-}
--- a/internal/traffic/listener/unfinished_test.go
+++ b/internal/traffic/listener/unfinished_test.go
@@ -1,6 +1,9 @@
 package listener
 
 import (
+	"bytes"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -8,7 +11,10 @@
 	"strings"
 	"testing"
 
+	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/standin/generator"
+	"pomelotiller/internal/traffic/refuser"
 )
 
 // brokenEngine returns an engine that sends the given events in its first answer and then
@@ -69,3 +75,40 @@
 		})
 	}
 }
+
+// TestUnfinishedStream checks that a stream that cannot be completed ends with an error event,
+// without the end marker, and with a body that HTTP does not end either.
+func TestUnfinishedStream(t *testing.T) {
+	g := generator.New(generator.Config{Versions: []string{testVersion}})
+	g.SetAnswerFaults(generator.AnswerFaults{Fault: generator.AnswerCut, After: 2, Count: 1})
+	engine := g.Handler()
+	cut := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/resume") {
+			http.Error(w, "no resume", http.StatusInternalServerError)
+			return
+		}
+		engine.ServeHTTP(w, r)
+	})
+	l := newTestListener(t, cut)
+	res := requestOverTCP(t, l, `{"model":"chat","stream":true,"messages":[]}`)
+	b, err := io.ReadAll(res.Body)
+	if !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("got error %v at the end of the body, want %v", err, io.ErrUnexpectedEOF)
+	}
+	events := bytes.Split(bytes.TrimSpace(b), []byte("\n\n"))
+	var got streamErrorEvent
+	if err := json.Unmarshal(bytes.TrimPrefix(events[len(events)-1], []byte("data: ")), &got); err != nil {
+		t.Fatalf("last event %s: %v", events[len(events)-1], err)
+	}
+	if got.Error.Run != refuser.Ran.String() || got.Error.Status != http.StatusServiceUnavailable || len(events) != 3 {
+		t.Errorf("got %d events, the last %+v; want two tokens and a refusal of a request that ran", len(events), got)
+	}
+	if n := l.activeRequests.Load(); n != 0 {
+		t.Errorf("got %d active requests after the end, want 0", n)
+	}
+	var counts strings.Builder
+	meter.Write(&counts, l.cfg.Registry)
+	if !strings.Contains(counts.String(), `requests_total{status="200"} 1`) {
+		t.Errorf("got metrics %s, want the request counted", counts.String())
+	}
+}
