Count a service's answer without length or chunks as lost

What callers saw: a plain service that stopped after the head of its answer, or in its body, and closed its connection, had the empty or short body taken for its answer: the caller got a 200 with it, framed as whole, and of an order it was recorded and given to everyone who asked again.

Cause: an answer may have neither a length nor chunks and end with its connection. A process that is killed closes its connection in the same way as one that is done, so that the end of the connection is no sign that the answer is whole.

Such an answer is now lost, as one that breaks off is: an order's outcome is then looked up, where the route has a status path, or unknown; an idempotent call goes to another endpoint. Services must state a length or send chunks, as HTTP servers do by themselves. The daemon no longer asks for compression: Go hides the framing of an answer that it has decompressed, and takes an empty one for an empty body.

TestServiceAnswerCutAtEachByte printed before (40 cuts in all), such as: end of the connection: cut after 54 of 66 bytes: got status 200, body "" (<nil>); want whole false end of the connection: cut after 60 of 66 bytes: got status 200, body "twelve" (<nil>); want whole false end of the connection, compressed: cut after 78 of 78 bytes: got status 200, body "" (<nil>); want whole false Cuts of answers with a length, with chunks or without a body, and of all heads, were noticed before.

--- /dev/null
+++ b/internal/traffic/recorder/answer_test.go
@@ -0,0 +1,94 @@
+package recorder
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/traffic/refuser"
+)
+
+// serveRaw starts a service that reads a request, sends the bytes that answer returns, and
+// closes the connection.
+func serveRaw(t *testing.T, answer func() string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			// The request must be read, since the kernel resets a connection that is closed
+			// with bytes unread.
+			buf := make([]byte, 4096)
+			for got := ""; !strings.HasSuffix(got, "lamps"); {
+				n, err := conn.Read(buf)
+				if err != nil {
+					break
+				}
+				got += string(buf[:n])
+			}
+			_, _ = io.WriteString(conn, answer())
+			conn.Close()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func sendTestOrder(t *testing.T, method, address string) (Answer, error) {
+	t.Helper()
+	c, err := Connect(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	o := Order{ID: "order", Key: testKey, Attempt: 1, Request: testSubmission(false).Request}
+	o.Request.Method = method
+	return c.Send(t.Context(), o, nil)
+}
+
+const testEcho = inferrer.HeaderRequest + ": order\r\n" + inferrer.HeaderAttempt + ": 1\r\n"
+
+// TestServiceAnswerCutAtEachByte cuts the answer to an order after each of its bytes. It may be
+// taken for the answer only if it came whole, which an answer that ends with its connection
+// never shows.
+func TestServiceAnswerCutAtEachByte(t *testing.T) {
+	for _, tc := range []struct {
+		name, method, answer string
+		// framed reports that the answer marks its end.
+		framed bool
+	}{
+		{"length", http.MethodPost, "HTTP/1.1 200 OK\r\n" + testEcho + "Content-Length: 12\r\n\r\ntwelve bytes", true},
+		{"no body", http.MethodPost, "HTTP/1.1 204 No Content\r\n" + testEcho + "\r\n", true},
+		{"no body of HEAD", http.MethodHead, "HTTP/1.1 200 OK\r\n" + testEcho + "\r\n", true},
+		{"chunks", http.MethodPost, "HTTP/1.1 200 OK\r\n" + testEcho + "Transfer-Encoding: chunked\r\n\r\n7\r\ntwelve \r\n5\r\nbytes\r\n0\r\n\r\n", true},
+		{"end of the connection", http.MethodPost, "HTTP/1.1 200 OK\r\n" + testEcho + "\r\ntwelve bytes", false},
+		{"end of the connection, stated", http.MethodPost, "HTTP/1.1 200 OK\r\n" + testEcho + "Connection: close\r\n\r\ntwelve bytes", false},
+		{"end of the connection, HTTP/1.0", http.MethodPost, "HTTP/1.0 200 OK\r\n" + testEcho + "\r\ntwelve bytes", false},
+		{"end of the connection, compressed", http.MethodPost, "HTTP/1.1 200 OK\r\n" + testEcho + "Content-Encoding: gzip\r\n\r\n", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			cut := 0
+			address := serveRaw(t, func() string { return tc.answer[:cut] })
+			for ; cut <= len(tc.answer); cut++ {
+				a, err := sendTestOrder(t, tc.method, address)
+				if wantWhole := tc.framed && cut == len(tc.answer); (err == nil) != wantWhole {
+					t.Errorf("cut after %d of %d bytes: got status %d, body %q (%v); want whole %t", cut, len(tc.answer), a.Status, a.Body, err, wantWhole)
+				}
+				var sendErr *SendError
+				if err != nil && (!errors.As(err, &sendErr) || sendErr.RunState != refuser.Unknown) {
+					t.Errorf("cut after %d bytes: got error %v, want one with run state unknown", cut, err)
+				}
+			}
+		})
+	}
+}
--- a/internal/traffic/recorder/sender.go
+++ b/internal/traffic/recorder/sender.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -122,7 +123,7 @@
 // because net/http silently repeats a request with an Idempotency-Key when a reused connection
 // breaks.
 func (c *Connection) Send(ctx context.Context, o Order, header http.Header) (Answer, error) {
-	t := &http.Transport{DisableKeepAlives: true, DialContext: singleUseDialer(writeTrackingConn{c.conn, &c.writeStarted})}
+	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: singleUseDialer(writeTrackingConn{c.conn, &c.writeStarted})}
 	req, err := http.NewRequestWithContext(ctx, o.Request.Method, "http://"+c.address+o.Request.Path, io.NopCloser(bytes.NewReader(o.Request.Body)))
 	if err != nil {
 		return Answer{}, &SendError{RunState: refuser.NotRun, Err: err}
@@ -162,7 +163,18 @@
 	}
 }
 
+// errUnframed is the error of an answer that ends with its connection. A cut one looks the same.
+var errUnframed = errors.New("answer has neither a length nor chunks")
+
+// isFramed reports whether an answer marks the end of its body, or has none.
+func isFramed(res *http.Response) bool {
+	return res.Body == http.NoBody || res.ContentLength >= 0 || slices.Contains(res.TransferEncoding, "chunked")
+}
+
 func readAnswer(res *http.Response, o Order) (Answer, error) {
+	if !isFramed(res) {
+		return Answer{}, &SendError{RunState: refuser.Unknown, Err: fmt.Errorf("%w: %w", inferrer.ErrTruncated, errUnframed)}
+	}
 	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, &SendError{RunState: refuser.Unknown, Err: fmt.Errorf("%w: %w", inferrer.ErrTruncated, err)}
