Record no answer with a status that callers can't be sent

What callers saw: a plain service that answered status 099, or 101 unasked, or whose status look-up reported such a number, had this recorded as the answer of the order. Writing 99 to a caller panics, which closes its connection without an answer, each time that the order is asked for; 101 makes it wait for another protocol.

Cause: the status of an answer was passed on as it came.

A status outside of 200 to 999 now counts as no answer; the outcome is looked up or unknown. TestServiceAnswerWithImpossibleStatus and TestReportWithImpossibleStatus printed before: got answer {Status:99 ContentType: Body:[] Omitted:false} (<nil>) with status 99, want an error with run state unknown got report {State:done Answer:[] Status:99 ContentType:} (<nil>) with status 99, want it accepted: false and the same for 101 and, in reports, -1 and 1000.

--- a/internal/traffic/recorder/answer_test.go
+++ b/internal/traffic/recorder/answer_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -92,3 +94,33 @@
 		})
 	}
 }
+
+// TestServiceAnswerWithImpossibleStatus has a service answer with a status that no caller can be
+// sent. The answer must not be recorded.
+func TestServiceAnswerWithImpossibleStatus(t *testing.T) {
+	for _, status := range []int{99, http.StatusSwitchingProtocols} {
+		address := serveRaw(t, func() string {
+			return fmt.Sprintf("HTTP/1.1 %03d Odd\r\n%sContent-Length: 0\r\n\r\n", status, testEcho)
+		})
+		a, err := sendTestOrder(t, http.MethodPost, address)
+		var sendErr *SendError
+		if !errors.As(err, &sendErr) || sendErr.RunState != refuser.Unknown {
+			t.Errorf("got answer %+v (%v) with status %d, want an error with run state unknown", a, err, status)
+		}
+	}
+}
+
+// TestReportWithImpossibleStatus has a status look-up report an answer with a status that no
+// caller can be sent.
+func TestReportWithImpossibleStatus(t *testing.T) {
+	for status, want := range map[int]bool{-1: false, 0: true, 99: false, 101: false, 200: true, 503: true, 1000: false} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprintf(w, `{"state":"done","status":%d}`, status)
+		}))
+		report, err := HTTPServices{}.Status(t.Context(), srv.Listener.Addr().String(), "/status")
+		srv.Close()
+		if (err == nil) != want {
+			t.Errorf("got report %+v (%v) with status %d, want it accepted: %t", report, err, status, want)
+		}
+	}
+}
--- a/internal/traffic/recorder/sender.go
+++ b/internal/traffic/recorder/sender.go
@@ -84,6 +84,9 @@
 	if err := json.NewDecoder(io.LimitReader(res.Body, 2*maxAnswerBytes)).Decode(&p); err != nil {
 		return Report{}, fmt.Errorf("status look-up: %w", err)
 	}
+	if p.Status != 0 && !isFinalStatus(p.Status) {
+		return Report{}, fmt.Errorf("status look-up: %w: %d", errNotFinalStatus, p.Status)
+	}
 	return p, nil
 }
 
@@ -171,10 +174,18 @@
 	return res.Body == http.NoBody || res.ContentLength >= 0 || slices.Contains(res.TransferEncoding, "chunked")
 }
 
+// errNotFinalStatus is the error of an answer whose status no caller can be sent.
+var errNotFinalStatus = errors.New("status is not that of a final answer")
+
+func isFinalStatus(status int) bool { return status >= http.StatusOK && status <= 999 }
+
 func readAnswer(res *http.Response, o Order) (Answer, error) {
 	if !isFramed(res) {
 		return Answer{}, &SendError{RunState: refuser.Unknown, Err: fmt.Errorf("%w: %w", inferrer.ErrTruncated, errUnframed)}
 	}
+	if !isFinalStatus(res.StatusCode) {
+		return Answer{}, &SendError{RunState: refuser.Unknown, Err: fmt.Errorf("%w: %d", errNotFinalStatus, res.StatusCode)}
+	}
 	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, &SendError{RunState: refuser.Unknown, Err: fmt.Errorf("%w: %w", inferrer.ErrTruncated, err)}
