Transfer no cache whose end is not marked

What callers could have seen: a leaving engine that stopped while it sent the cache of a request, in an answer without length or chunks, had the part that came imported at the next engine as a whole cache; the answer then went on from it.

Cause: as in answers of plain services, the end of the connection was taken for the end of the cache. An answer with status 202 or the like was taken for a cache too.

--- a/internal/remote/inferrer/client.go
+++ b/internal/remote/inferrer/client.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -255,39 +256,52 @@
 
 // Export implements Engine.
 func (c *Client) Export(ctx context.Context, request string) (io.ReadCloser, error) {
-	return c.send(ctx, http.MethodGet, "/kv/"+url.PathEscape(request), nil)
+	res, err := c.send(ctx, http.MethodGet, "/kv/"+url.PathEscape(request), nil)
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case res.StatusCode != http.StatusOK:
+		err = statusError(res)
+	case !IsFramed(res):
+		err = fmt.Errorf("%w: the end of the cache is not marked", ErrTruncated)
+	default:
+		return res.Body, nil
+	}
+	res.Body.Close()
+	return nil, err
 }
 
 // Import implements Engine. Only ctx bounds its duration, since a cache may take longer to send than
 // CallTimeout.
 func (c *Client) Import(ctx context.Context, request string, cache io.Reader) error {
-	body, err := c.send(ctx, http.MethodPut, "/kv/"+url.PathEscape(request), cache)
+	res, err := c.send(ctx, http.MethodPut, "/kv/"+url.PathEscape(request), cache)
 	if err != nil {
 		return err
 	}
-	return body.Close()
+	return res.Body.Close()
 }
 
 // call sends a call that is not a completion and decodes its answer into out, unless out is nil.
 func (c *Client) call(ctx context.Context, method, path string, in io.Reader, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
-	body, err := c.send(ctx, method, path, in)
+	res, err := c.send(ctx, method, path, in)
 	if err != nil {
 		return err
 	}
-	defer body.Close()
+	defer res.Body.Close()
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(body, maxReportBytes)).Decode(out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxReportBytes)).Decode(out); err != nil {
 		return fmt.Errorf("%s %s: decode answer: %w", method, path, err)
 	}
 	return nil
 }
 
-// send sends a call and returns the body of its answer, which the caller must close.
-func (c *Client) send(ctx context.Context, method, path string, in io.Reader) (io.ReadCloser, error) {
+// send sends a call and returns its answer, whose body the caller must close.
+func (c *Client) send(ctx context.Context, method, path string, in io.Reader) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.cfg.Address+path, in)
 	if err != nil {
 		return nil, fmt.Errorf("%s %s: %w", method, path, err)
@@ -300,7 +314,13 @@
 		defer res.Body.Close()
 		return nil, statusError(res)
 	}
-	return res.Body, nil
+	return res, nil
+}
+
+// IsFramed reports whether an answer marks the end of its body or has none. An answer that ends with
+// its connection looks complete wherever it is cut.
+func IsFramed(res *http.Response) bool {
+	return res.Body == http.NoBody || res.ContentLength >= 0 || slices.Contains(res.TransferEncoding, "chunked")
 }
 
 // wrapDialError wraps a failure to connect in ErrNotConnected, which says that nothing was sent.
--- a/internal/traffic/recorder/sender.go
+++ b/internal/traffic/recorder/sender.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -169,18 +168,13 @@
 // errUnframed is the error of an answer that ends with its connection. A cut one looks the same.
 var errUnframed = errors.New("answer has neither a length nor chunks")
 
-// isFramed reports whether an answer marks the end of its body, or has none.
-func isFramed(res *http.Response) bool {
-	return res.Body == http.NoBody || res.ContentLength >= 0 || slices.Contains(res.TransferEncoding, "chunked")
-}
-
 // errNotFinalStatus is the error of an answer whose status no caller can be sent.
 var errNotFinalStatus = errors.New("status is not that of a final answer")
 
 func isFinalStatus(status int) bool { return status >= http.StatusOK && status <= 999 }
 
 func readAnswer(res *http.Response, o Order) (Answer, error) {
-	if !isFramed(res) {
+	if !inferrer.IsFramed(res) {
 		return Answer{}, &SendError{RunState: refuser.Unknown, Err: fmt.Errorf("%w: %w", inferrer.ErrTruncated, errUnframed)}
 	}
 	if !isFinalStatus(res.StatusCode) {
