Return to pooled connections once a stalled answer goes on

After one stall every further attempt of a request opened a new connection, however often the answer had gone on since: the flag was set and never reset. Callers saw the time of a dial in each later gap.

Attempts now use new connections while there are stalls since the last token, which the progress of a job counts and resets anyway.

TestPooledConnectionsAfterStall printed before: got 3 attempts over new connections, text "abcd"; want 1, abcd

--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -68,7 +68,7 @@
 	p.runState = refuser.Unknown
 	s, err := engine.Start(ctx, inferrer.Attempt{
 		Request: job.Request, Number: n, Path: job.Path, Body: body, FromToken: p.nextToken,
-		Priority: string(job.Priority), Header: header, NewConnection: p.freshConnection,
+		Priority: string(job.Priority), Header: header, NewConnection: p.stalls > 0,
 	})
 	p.runState = max(p.runState, before)
 	if errors.Is(err, inferrer.ErrNotConnected) {
@@ -101,7 +101,6 @@
 // over a new connection; if the engine answers, the next attempt goes to it again.
 func (r *Relayer) handleStall(ctx context.Context, job Job, p *jobProgress, c router.Choice, cause error) error {
 	p.stalls++
-	p.freshConnection = true
 	// Other idle connections on the same network path are probably dead as well.
 	r.cfg.HTTP.CloseIdleConnections()
 	engine := inferrer.NewClient(inferrer.ClientConfig{Address: c.Endpoint.Address, CallTimeout: statusTimeout, HTTP: r.cfg.FreshHTTP})
--- a/internal/traffic/relayer/progress.go
+++ b/internal/traffic/relayer/progress.go
@@ -34,15 +34,14 @@
 	excluded map[string]bool
 	// fruitlessAttempts counts the failed attempts since the last new token.
 	fruitlessAttempts int
-	// stalls counts the attempts that timed out since the last new token.
+	// stalls counts the attempts that timed out since the last new token. After one, attempts
+	// use new connections.
 	stalls int
 	// rounds counts how often all engines have failed since the last new token.
 	rounds int
 	// failingSince is when the first attempt since the last new token failed.
 	failingSince time.Time
 	lastErr      error
-	// freshConnection makes the next attempts use a new connection.
-	freshConnection bool
 	// reserved is the engine already chosen for the next attempt, if any.
 	reserved *router.Choice
 	// cancelsDone holds, by engine, a channel that closes once the call that cancels
--- /dev/null
+++ b/internal/traffic/relayer/stall_test.go
@@ -0,0 +1,52 @@
+package relayer
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"pomelotiller/internal/remote/inferrer"
+)
+
+// attemptCounter counts the attempts that go through an HTTP client.
+type attemptCounter struct {
+	http.RoundTripper
+	attempts atomic.Int64
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c *attemptCounter) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Header.Get(inferrer.HeaderAttempt) != "" {
+		c.attempts.Add(1)
+	}
+	return c.RoundTripper.RoundTrip(r)
+}
+
+// TestPooledConnectionsAfterStall checks that the attempt after a stall uses a new connection,
+// and that later attempts use pooled ones again once the answer has gone on.
+func TestPooledConnectionsAfterStall(t *testing.T) {
+	b := newFixture(t, 0)
+	fresh := &attemptCounter{RoundTripper: inferrer.NewUnpooledHTTP().Transport}
+	b.relayer.cfg.FreshHTTP = &http.Client{Transport: fresh}
+	cutAfter := func(token int, text string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			writeStatus(w, r, http.StatusOK, testEvent("r", token, text, ""))
+			panic(http.ErrAbortHandler)
+		}
+	}
+	stall := func(w http.ResponseWriter, r *http.Request) {
+		writeStatus(w, r, http.StatusOK, testEvent("r", 0, "a", ""))
+		<-r.Context().Done()
+	}
+	last := func(w http.ResponseWriter, r *http.Request) {
+		writeStatus(w, r, http.StatusOK, testEvent("r", 3, "d", "stop")+testEnd)
+	}
+	b.addScriptedEngine(t, stall, cutAfter(1, "b"), cutAfter(2, "c"), last)
+	var sink textSink
+	if err := b.relayer.Run(t.Context(), b.job("r"), &sink); err != nil {
+		t.Fatal(err)
+	}
+	if got := fresh.attempts.Load(); got != 1 || sink.text.String() != "abcd" {
+		t.Errorf("got %d attempts over new connections, text %q; want 1, abcd", got, sink.text.String())
+	}
+}
