Name the cause of a stall at an engine that leaves

An attempt that stalled at an engine which then reported that it leaves had an error with "%!w(<nil>)" in its text, and counted as a possible fault of the version.

Cause: the error of the load query was wrapped also where there was none.

The error is now ErrLeaving, as for an engine that refuses a request because it leaves: the other daemons hear of it, and the version is not blamed.

TestStallOfLeavingEngine printed before: got error "endpoint has been silent for too long: query engine load: leaving true: %!w(<nil>)", want a stall at an engine that is leaving

--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -105,9 +105,12 @@
 	r.cfg.HTTP.CloseIdleConnections()
 	engine := inferrer.NewClient(inferrer.ClientConfig{Address: c.Endpoint.Address, CallTimeout: statusTimeout, HTTP: r.cfg.FreshHTTP})
 	l, err := engine.Load(ctx)
-	if err != nil || l.Leaving {
+	if err == nil && l.Leaving {
+		err = inferrer.ErrLeaving
+	}
+	if err != nil {
 		p.excluded[c.Endpoint.Name] = true
-		return fmt.Errorf("%w: query engine load: leaving %t: %w", cause, l.Leaving, err)
+		return fmt.Errorf("%w: query engine load: %w", cause, err)
 	}
 	if p.stalls > maxStallRetries {
 		return cause
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -69,7 +69,7 @@
 	Tracer tracer.Tracer
 	// Registry receives counters.
 	Registry metrics.Registry
-	// OnLeaving, if set, is called when an engine refuses a request because it is leaving.
+	// OnLeaving, if set, is called when an engine says after a failed attempt that it is leaving.
 	OnLeaving func(e viewer.Endpoint)
 	// AllowRetry, if set, takes one retry from the retry budget and reports whether it was
 	// allowed. It is called before an answer that has not begun is retried after a
--- a/internal/traffic/relayer/stall_test.go
+++ b/internal/traffic/relayer/stall_test.go
@@ -1,11 +1,14 @@
 package relayer
 
 import (
+	"errors"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/traffic/router"
 )
 
 // attemptCounter counts the attempts that go through an HTTP client.
@@ -50,3 +53,18 @@
 		t.Errorf("got %d attempts over new connections, text %q; want 1, abcd", got, sink.text.String())
 	}
 }
+
+// TestStallOfLeavingEngine checks that an attempt that stalled at an engine which reports that
+// it leaves has an error with a readable text, and that the engine is not tried again.
+func TestStallOfLeavingEngine(t *testing.T) {
+	b := newFixture(t, 1)
+	b.engines[0].SetLeaving(true)
+	p := newJobProgress()
+	err := b.relayer.handleStall(t.Context(), b.job("r"), p, router.Choice{Endpoint: b.view.Endpoints[0], Version: testVersion}, errStalled)
+	if text := err.Error(); strings.Contains(text, "%!") || !errors.Is(err, inferrer.ErrLeaving) || !errors.Is(err, errStalled) {
+		t.Errorf("got error %q, want a stall at an engine that is leaving", text)
+	}
+	if !p.excluded[b.view.Endpoints[0].Name] || p.reserved != nil {
+		t.Errorf("got excluded %v, reserved %v; want the engine excluded", p.excluded, p.reserved)
+	}
+}
