Try another engine for a chunk that cannot be decoded

What callers saw: an engine's chunk with a text that is no string, in an answer that was not streamed, ended the request with status 500 "the request failed"; no other engine was asked, and the engine was not blamed.

Cause: an error of the part that collects the answer was taken for a caller that has left, whatever it was.

TestCompleteAnswerWithoutToken printed before: undecodable text: got status 500: {...,"title":"internal",...}, want 503 Its other cases (an end without a choice, with two, without a finish reason) held before: an answer is built only once a choice with a finish reason came, so that one without choices cannot reach it.

--- a/internal/remote/inferrer/inferrer.go
+++ b/internal/remote/inferrer/inferrer.go
@@ -106,11 +106,11 @@
 // finish reason with all others.
 func (c PartialChoice) IsLast() bool { return c.FinishReason != nil && *c.FinishReason != "" }
 
-// Chunk decodes all fields of the chunk.
+// Chunk decodes all fields of the chunk. Its error is ErrTruncated, as for a chunk that is no JSON.
 func (p Piece) Chunk() (Chunk, error) {
 	var c Chunk
 	if err := json.Unmarshal(p.Raw, &c); err != nil {
-		return c, fmt.Errorf("decode chunk: %w", err)
+		return c, fmt.Errorf("%w: decode chunk: %w", ErrTruncated, err)
 	}
 	return c, nil
 }
--- a/internal/traffic/listener/unfinished_test.go
+++ b/internal/traffic/listener/unfinished_test.go
@@ -112,3 +112,35 @@
 		t.Errorf("got metrics %s, want the request counted", counts.String())
 	}
 }
+
+// scriptedEngine returns an engine whose answers all have the given events and an end mark.
+func scriptedEngine(events ...string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(inferrer.HeaderRequest)
+		w.Header().Set(inferrer.HeaderRequest, id)
+		w.Header().Set(inferrer.HeaderAttempt, r.Header.Get(inferrer.HeaderAttempt))
+		for _, e := range append(events, "[DONE]") {
+			fmt.Fprintf(w, "data: %s\n\n", strings.Replace(e, "ID", id, 1))
+		}
+	})
+}
+
+// TestCompleteAnswerWithoutToken has engines end their answers before any token. A caller that
+// did not ask for a stream must get a refusal.
+func TestCompleteAnswerWithoutToken(t *testing.T) {
+	for name, events := range map[string][]string{
+		"nothing":          nil,
+		"no choice":        {`{"id":"ID","model":"chat-v1","choices":[]}`},
+		"only usage":       {`{"id":"ID","model":"chat-v1","choices":[],"usage":{"prompt_tokens":1}}`},
+		"two choices":      {`{"id":"ID","model":"chat-v1","choices":[{"finish_reason":"stop"},{"index":1,"finish_reason":"stop"}]}`},
+		"no finish reason": {`{"id":"ID","model":"chat-v1","choices":[{"delta":{"content":"a"}}]}`},
+		"undecodable text": {`{"id":"ID","model":"chat-v1","choices":[{"delta":{"content":5},"finish_reason":"stop"}]}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := postCompletion(t, newTestListener(t, scriptedEngine(events...)), `{"model":"chat","messages":[]}`)
+			if w.Code != http.StatusServiceUnavailable {
+				t.Errorf("got status %d: %s, want 503", w.Code, w.Body)
+			}
+		})
+	}
+}
--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -207,7 +207,9 @@
 		return fmt.Errorf("%w: got a chunk of model %q, the answer began with %q", inferrer.ErrForeignAnswer, e.Model, p.model)
 	}
 	p.model = e.Model
-	if err := sink.Piece(e); err != nil {
+	if err := sink.Piece(e); errors.Is(err, inferrer.ErrTruncated) {
+		return err
+	} else if err != nil {
 		return &sinkError{err}
 	}
 	p.hasUsage = !isToken
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -48,6 +48,8 @@
 // Sink receives the pieces of an answer in order, each exactly once. A piece without
 // choices carries the token usage.
 type Sink interface {
+	// Piece takes a piece. An error of inferrer.Piece.Chunk fails the attempt, any other
+	// means that the caller has left.
 	Piece(e inferrer.Piece) error
 	// Flush is called when no further piece has arrived yet.
 	Flush() error
