Take only tokens for the progress of an engine

What callers saw: nothing, until their deadline: an engine that sent chunks without a token for ever, empty ones or usage, kept its attempt alive, and no other engine was asked.

Cause: any chunk restarted the timer that ends an attempt whose engine is silent.

TestChunksWithoutToken printed before: usage: got text "" (deadline: ...), want the answer of the second attempt empty: got text "" (deadline: ...), want the answer of the second attempt

--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -162,7 +162,7 @@
 // relayPieces copies the pieces of a stream to the sink until the end mark. It skips a
 // piece that the engine sends twice in a row, and fails if any other token is not the next
 // one of the answer. Once the last token relayed has a finish reason the answer is
-// complete, however the connection ends. It calls firstToken for each piece.
+// complete, however the connection ends. It calls firstToken for each token.
 func relayPieces(s inferrer.Stream, p *jobProgress, sink Sink, watch *watchdog, firstToken func()) error {
 	var last []byte
 	for {
@@ -177,8 +177,10 @@
 			return err
 		}
 		if !bytes.Equal(e.Raw, last) {
-			watch.restart()
-			firstToken()
+			if len(e.Choices) > 0 {
+				watch.restart()
+				firstToken()
+			}
 			if err := relayPiece(e, p, sink); err != nil {
 				return err
 			}
--- a/internal/traffic/relayer/stall_test.go
+++ b/internal/traffic/relayer/stall_test.go
@@ -1,11 +1,14 @@
 package relayer
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/router"
@@ -68,3 +71,37 @@
 		t.Errorf("got excluded %v, reserved %v; want the engine excluded", p.excluded, p.reserved)
 	}
 }
+
+// TestChunksWithoutToken has an engine send chunks without a token for ever. They are no
+// progress, so that the answer must come from the next attempt.
+func TestChunksWithoutToken(t *testing.T) {
+	empty := func(n int) string {
+		return fmt.Sprintf(`data: {"id":"r","model":%q,"created":%d,"choices":[]}`+"\n\n", testVersion, n)
+	}
+	usage := func(n int) string {
+		return strings.Replace(testUsage("r"), `"prompt_tokens":3`, fmt.Sprintf(`"prompt_tokens":%d`, n), 1)
+	}
+	for name, chunk := range map[string]func(n int) string{"empty": empty, "usage": usage} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newFixture(t, 0)
+			idle := func(w http.ResponseWriter, r *http.Request) {
+				writeStatus(w, r, http.StatusOK, "")
+				for n := 0; r.Context().Err() == nil; n++ {
+					_, _ = fmt.Fprint(w, chunk(n))
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(10 * time.Millisecond)
+				}
+			}
+			b.addScriptedEngine(t, idle, func(w http.ResponseWriter, r *http.Request) {
+				writeStatus(w, r, http.StatusOK, testEvent("r", 0, "a", "stop")+testEnd)
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			var sink textSink
+			if err := b.relayer.Run(ctx, b.job("r"), &sink); err != nil || sink.text.String() != "a" {
+				t.Errorf("got text %q (%v), want the answer of the second attempt", sink.text.String(), err)
+			}
+		})
+	}
+}
