Keep a prompt that crashes engines from taking down one after the other

What callers saw: on the product's own interface a prompt under which engines crash was sent on to the next engine, six times before its answer began, and without a limit once it had: each engine that gave a token before it crashed counted as progress. One request took down all engines of a version, and failed at the end.

An attempt whose connection is lost before its second token is followed by a call to the engine over a new connection; if that is refused, the engine crashed. After two crashes no further engine is asked. The quarantiner, which the carrier uses, learns of crashes and complete answers by the hash of the whole prompt and refuses the prompt after three crashes of begun answers. Answers that are cut by engines which live on are resumed as before (TestRepeatedlyTruncatedAnswer, TestCutIsNoCrash).

TestPromptThatCrashesEngines, with eight engines, printed before: before the answer: got 6 crashes, status 503, run unknown; want 2, 503, not not-run after the head: got 6 crashes, status 503, run unknown; want 2, 503, not not-run after a token: got 8 crashes, status 503, run ran; want 2, 503, not not-run

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -33,6 +33,7 @@
 	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/traffic/admitter"
 	"pomelotiller/internal/traffic/listener"
+	"pomelotiller/internal/traffic/quarantiner"
 	"pomelotiller/internal/traffic/recorder"
 	"pomelotiller/internal/traffic/relayer"
 	"pomelotiller/internal/traffic/router"
@@ -78,6 +79,7 @@
 	// cacheEventClient reads the cache events of engines.
 	cacheEventClient *http.Client
 	admitter         *admitter.Admitter
+	quarantiner      *quarantiner.Quarantiner
 	relayer          *relayer.Relayer
 	listener         *listener.Listener
 	orderRunner      *recorder.Runner
@@ -167,9 +169,11 @@
 	rt := d.newRouter()
 	d.admitter = admitter.New()
 	rec := d.buildOrders(store, owner, rt)
+	d.quarantiner = d.newQuarantiner()
 	d.relayer = relayer.New(relayer.Config{
 		View: d.viewHolder.Load, Router: rt, Domain: s.Domain, HTTP: inferrer.NewHTTP(), Tracer: d.tracer, Registry: d.registry,
 		OnLeaving: d.handleLeavingRefusal, AllowRetry: d.admitter.RetryBudget.TryWithdraw, Outcomes: d.moveComponents.follower,
+		Quarantine: d.quarantiner,
 	})
 	d.listener = listener.New(listener.Config{
 		View: d.viewHolder.Load, Admitter: d.admitter, Recorder: rec, Tracer: d.tracer, Registry: d.registry,
@@ -229,7 +233,7 @@
 	for _, f := range append([]func(context.Context) error{
 		d.messenger.Run, d.gossiper.Run, d.control.Run, d.control.RunHosts,
 		d.releaseWatcher.WatchStore, d.releaseWatcher.PullFromPeers, d.prober.Run, d.serveOperators, d.orderRunner.Run, d.publishUsages,
-		d.publishLoadReports, d.readCacheEvents,
+		d.publishLoadReports, d.readCacheEvents, d.runQuarantine,
 	}, d.moveComponents.runFuncs()...) {
 		g.Go(func() error {
 			defer endServing()
--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -78,6 +78,7 @@
 		return withCause(ctx, err)
 	}
 	defer s.Close()
+	p.timing.began = true
 	return withCause(ctx, relayPieces(s, p, sink, watch, c.FirstToken))
 }
 
--- a/internal/traffic/relayer/outcome.go
+++ b/internal/traffic/relayer/outcome.go
@@ -41,6 +41,8 @@
 type attemptTiming struct {
 	started, first, last time.Time
 	tokens               int
+	// began reports that the head of the answer came.
+	began bool
 }
 
 // recordToken records that a token arrived now.
--- a/internal/traffic/relayer/progress.go
+++ b/internal/traffic/relayer/progress.go
@@ -42,6 +42,10 @@
 	// failingSince is when the first attempt since the last new token failed.
 	failingSince time.Time
 	lastErr      error
+	// blocks are the blocks by which the quarantine knows the prompt, and crashes counts the
+	// engines that crashed under it.
+	blocks  []string
+	crashes int
 	// reserved is the engine already chosen for the next attempt, if any.
 	reserved *router.Choice
 	// cancelsDone holds, by engine, a channel that closes once the call that cancels
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -84,6 +84,8 @@
 	ResumeTimeout time.Duration
 	// Outcomes receives the outcomes of attempts; nil disables reporting.
 	Outcomes Outcomes
+	// Quarantine refuses the prompts under which engines crash; nil refuses none.
+	Quarantine Quarantine
 }
 
 // Relayer streams completions from engines to callers. Its methods are safe for
@@ -112,6 +114,9 @@
 	if cfg.FreshHTTP == nil {
 		cfg.FreshHTTP = inferrer.NewUnpooledHTTP()
 	}
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = noQuarantine{}
+	}
 	return &Relayer{cfg: cfg, transferSlots: make(chan struct{}, maxTransfers), inFlight: make(map[string]map[*inFlightAttempt]struct{})}
 }
 
@@ -120,7 +125,11 @@
 // cause if the caller has left.
 func (r *Relayer) Run(ctx context.Context, job Job, sink Sink) error {
 	p := newJobProgress()
+	p.blocks = promptBlocks(job.Prompt)
 	defer p.releaseReserved()
+	if err := r.checkQuarantine(job, p); err != nil {
+		return err
+	}
 	start := time.Now()
 	for n := 1; ; n++ {
 		choice, err := r.chooseEngine(ctx, job, p)
@@ -135,8 +144,10 @@
 		r.recordHealth(ctx, choice, p.timing, err)
 		if err == nil {
 			r.outageTracker.recordAnswer(choice.Version, time.Since(start))
+			r.cfg.Quarantine.RecordAnswer(p.blocks)
 			return nil
 		}
+		r.recordCrash(ctx, p, choice, err)
 		r.recordFailedAttempt(job, p, choice, err)
 		if r.isFinalFailure(ctx, p, err) {
 			return r.finalError(ctx, job, p, err)
@@ -190,7 +201,7 @@
 func (r *Relayer) isFinalFailure(ctx context.Context, p *jobProgress, err error) bool {
 	var sinkErr *sinkError
 	switch {
-	case ctx.Err() != nil || errors.As(err, &sinkErr):
+	case ctx.Err() != nil || errors.As(err, &sinkErr) || r.mayCrashNext(p):
 		return true
 	case p.hasBegun():
 		return p.timeSinceFailure() >= r.cfg.ResumeTimeout
