Keep the evidence against prompt blocks instead of counting it each tick

Callers saw nothing of it but the processor time. Where answers broke off at endpoints that go on (garbled answers, resets), each daemon of a large fleet counted all broken requests that it knew of again in each tick, 20 times a second, and searched the cleared blocks of every other daemon for each of their blocks: broken requests times daemons, without end for the minute in which breaks are remembered.

The evidence of each block and the number of daemons that cleared it are now updated as crashes and reports come and go, and a tick without a change looks at neither. The conditions of a quarantine are unchanged. TestEvidenceFollowsCrashes compares the evidence with a count over all crashes.

--- a/internal/traffic/quarantiner/crash.go
+++ b/internal/traffic/quarantiner/crash.go
@@ -22,10 +22,18 @@
 type crash struct {
 	at       time.Time
 	requests []brokenRequest
+	// scores holds how much the crash counts against each block.
+	scores map[string]float64
 	// isOwn reports that a request of this daemon broke off, which it tells the others.
 	isOwn bool
 }
 
+// evidence is what several crashes count against one block.
+type evidence struct {
+	crashes int
+	score   float64
+}
+
 // pendingCrash is a broken request of this daemon that is not yet known to be no part of a burst.
 type pendingCrash struct {
 	key     crashKey
@@ -50,7 +58,7 @@
 		}
 		c := q.crash(p.key)
 		c.isOwn = true
-		confirmed = c.addRequest(p.request) || confirmed
+		confirmed = q.addRequest(c, p.request) || confirmed
 	}
 	// Breaks are kept for a while after they were decided, since later ones may form a burst with them.
 	q.pending = slices.DeleteFunc(q.pending, func(p *pendingCrash) bool { return p.decided && now.Sub(p.at) > 4*burstTime })
@@ -72,15 +80,27 @@
 func (q *Quarantiner) crash(k crashKey) *crash {
 	c := q.crashes[k]
 	if c == nil {
-		c = &crash{at: q.cfg.Now()}
+		c = &crash{at: q.cfg.Now(), scores: make(map[string]float64)}
 		q.crashes[k] = c
 	}
 	return c
 }
 
-// addRequest adds a broken request and reports whether it did: not if the same is known, nor beyond
-// maxRequests if its answer had not begun.
-func (c *crash) addRequest(r brokenRequest) bool {
+// dropCrash removes a crash and its part of the evidence.
+func (q *Quarantiner) dropCrash(k crashKey) {
+	q.changed = true
+	for b, score := range q.crashes[k].scores {
+		e := evidence{q.evidence[b].crashes - 1, q.evidence[b].score - score}
+		if q.evidence[b] = e; e.crashes == 0 {
+			delete(q.evidence, b)
+		}
+	}
+	delete(q.crashes, k)
+}
+
+// addRequest adds a broken request to a crash and reports whether it did: not if the same is known, nor
+// beyond maxRequests if its answer had not begun.
+func (q *Quarantiner) addRequest(c *crash, r brokenRequest) bool {
 	if !r.began && len(c.requests) >= maxRequests {
 		return false
 	}
@@ -90,22 +110,34 @@
 		}
 	}
 	c.requests = append(c.requests, r)
+	q.changed = true
+	for _, b := range r.blocks {
+		q.addScore(c, b, r.score())
+	}
 	return true
 }
 
-// scores returns how much a crash counts against each block.
-func (c *crash) scores() map[string]float64 {
-	out := make(map[string]float64)
-	for _, r := range c.requests {
-		for _, b := range r.blocks {
-			if r.began {
-				out[b] = 1
-			} else {
-				out[b] = max(out[b], waitingScore)
-			}
-		}
+// score returns how much a broken request counts against each of its blocks.
+func (r brokenRequest) score() float64 {
+	if r.began {
+		return 1
 	}
-	return out
+	return waitingScore
+}
+
+// addScore makes a crash count at least score against a block.
+func (q *Quarantiner) addScore(c *crash, block string, score float64) {
+	old, known := c.scores[block]
+	if known && old >= score {
+		return
+	}
+	c.scores[block] = score
+	e := q.evidence[block]
+	if !known {
+		e.crashes++
+	}
+	e.score += score - old
+	q.evidence[block] = e
 }
 
 // commonBlocks returns the blocks that all broken requests with a block hold and that are not
--- a/internal/traffic/quarantiner/quarantiner.go
+++ b/internal/traffic/quarantiner/quarantiner.go
@@ -95,10 +95,14 @@
 	crashes map[crashKey]*crash
 	// answered holds the time of the last complete answer to a request with each block.
 	answered map[string]time.Time
-	// cleared holds the blocks that other daemons had complete answers for, by daemon.
-	cleared map[string]clearedBlocks
-	// suspects holds the number of crashes of each block that is not cleared.
-	suspects map[string]int
+	// cleared holds the blocks that other daemons had complete answers for, by daemon, and clearedBy
+	// the number of these daemons for each block.
+	cleared   map[string]clearedBlocks
+	clearedBy map[string]int
+	// evidence holds what all crashes together count against each block, cleared or not.
+	evidence map[string]evidence
+	// changed is set when anything changed that update depends on, other than the time.
+	changed bool
 	// forgotAt is when the oldest entries were last dropped.
 	forgotAt time.Time
 	// former holds the quarantines that ended less than probation ago, by key.
@@ -114,7 +118,7 @@
 	}
 	q := &Quarantiner{
 		cfg: cfg, startedAt: cfg.Now(), crashes: make(map[crashKey]*crash), answered: make(map[string]time.Time),
-		cleared: make(map[string]clearedBlocks), suspects: make(map[string]int), former: make(map[string]Quarantine),
+		cleared: make(map[string]clearedBlocks), clearedBy: make(map[string]int), evidence: make(map[string]evidence), former: make(map[string]Quarantine),
 	}
 	q.active.Store(&[]Quarantine{})
 	return q
@@ -135,7 +139,15 @@
 func (q *Quarantiner) IsSuspect(blocks []string) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return slices.ContainsFunc(blocks, func(b string) bool { return q.suspects[b] >= suspectCrashes })
+	return slices.ContainsFunc(blocks, func(b string) bool { return q.crashCount(b) >= suspectCrashes })
+}
+
+// crashCount returns the number of crashes under a block; 0 if it is cleared.
+func (q *Quarantiner) crashCount(block string) int {
+	if q.isCleared(block) {
+		return 0
+	}
+	return q.evidence[block].crashes
 }
 
 // RecordBreak records that the connection of a request to an endpoint broke. began reports that the
@@ -159,9 +171,11 @@
 	now := q.cfg.Now()
 	q.lastAnswer = now
 	for _, b := range blocks {
-		if _, ok := q.answered[b]; ok || len(q.answered) < maxAnswered {
+		_, ok := q.answered[b]
+		if ok || len(q.answered) < maxAnswered {
 			q.answered[b] = now
 		}
+		q.changed = q.changed || !ok && q.evidence[b].crashes > 0
 	}
 }
 
@@ -185,10 +199,10 @@
 	if now.Sub(q.forgotAt) < forgetPeriod {
 		return
 	}
-	q.forgotAt = now
+	q.forgotAt, q.changed = now, true
 	for k, c := range q.crashes {
 		if now.Sub(c.at) > memory {
-			delete(q.crashes, k)
+			q.dropCrash(k)
 		}
 	}
 	for b, at := range q.answered {
@@ -198,7 +212,7 @@
 	}
 	for name, c := range q.cleared {
 		if now.Sub(c.at) > memory {
-			delete(q.cleared, name)
+			q.setCleared(name, nil)
 		}
 	}
 	for k, e := range q.former {
@@ -211,54 +225,59 @@
 // endQuarantines takes the quarantines whose time is over out of force.
 func (q *Quarantiner) endQuarantines(now time.Time) {
 	active := *q.active.Load()
+	isOver := func(e Quarantine) bool { return !e.Until.After(now) }
+	if !slices.ContainsFunc(active, isOver) {
+		return
+	}
 	var kept []Quarantine
 	for _, e := range active {
-		if e.Until.After(now) {
-			kept = append(kept, e)
+		if isOver(e) {
+			q.former[e.key()] = e
 			continue
 		}
-		q.former[e.key()] = e
-	}
-	if len(kept) < len(active) {
-		q.active.Store(&kept)
+		kept = append(kept, e)
 	}
+	q.active.Store(&kept)
+	q.changed = true
 }
 
 // isCleared reports whether this or another daemon had a complete answer for a block of late.
 func (q *Quarantiner) isCleared(block string) bool {
-	if _, ok := q.answered[block]; ok {
-		return true
-	}
-	for _, c := range q.cleared {
-		if slices.Contains(c.blocks, block) {
-			return true
+	_, ok := q.answered[block]
+	return ok || q.clearedBy[block] > 0
+}
+
+// setCleared replaces the blocks that another daemon had complete answers for.
+func (q *Quarantiner) setCleared(name string, blocks []string) {
+	q.changed = q.changed || !slices.Equal(q.cleared[name].blocks, blocks)
+	for _, b := range q.cleared[name].blocks {
+		if q.clearedBy[b]--; q.clearedBy[b] == 0 {
+			delete(q.clearedBy, b)
 		}
 	}
-	return false
+	if len(blocks) == 0 {
+		delete(q.cleared, name)
+		return
+	}
+	for _, b := range blocks {
+		q.clearedBy[b]++
+	}
+	q.cleared[name] = clearedBlocks{blocks, q.cfg.Now()}
 }
 
-// update recounts the suspects and adds the quarantines that follow. It reports whether it added any.
+// update adds the quarantines that follow from the crashes. It reports whether it added any.
 func (q *Quarantiner) update() bool {
 	now := q.cfg.Now()
-	clear(q.suspects)
-	if len(q.crashes) == 0 {
+	if len(q.crashes) == 0 || !q.changed {
 		return false
 	}
-	scores := make(map[string]float64)
-	for _, c := range q.crashes {
-		for b, s := range c.scores() {
-			if !q.isCleared(b) {
-				scores[b] += s
-				q.suspects[b]++
-			}
-		}
-	}
 	if now.Sub(q.startedAt) < startDelay || now.Sub(q.lastAnswer) > recentAnswerTime {
 		return false
 	}
+	q.changed = false
 	added := false
-	for b, s := range scores {
-		if s >= minScore && q.suspects[b] >= minCrashes {
+	for b, e := range q.evidence {
+		if e.score >= minScore && e.crashes >= minCrashes && !q.isCleared(b) {
 			added = q.add(Quarantine{Blocks: q.commonBlocks(b), Until: now.Add(Duration), count: 1}, "crashes") || added
 		}
 	}
@@ -314,7 +333,7 @@
 	kept = append(kept, e)
 	q.active.Store(&kept)
 	delete(q.former, e.key())
-	logger.Warn(q.cfg.Logger, "msg", "prompt blocks quarantined", "blocks", e.key(), "why", why, "crashes", q.suspects[e.Blocks[0]], "left", e.Until.Sub(q.cfg.Now()))
+	logger.Warn(q.cfg.Logger, "msg", "prompt blocks quarantined", "blocks", e.key(), "why", why, "crashes", q.crashCount(e.Blocks[0]), "left", e.Until.Sub(q.cfg.Now()))
 	meter.AddToCounter(q.cfg.Registry, 1, "prompt_quarantines_total")
 	return true
 }
--- a/internal/traffic/quarantiner/quarantiner_test.go
+++ b/internal/traffic/quarantiner/quarantiner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -378,3 +379,79 @@
 		}
 	})
 }
+
+// Answers that break off at many endpoints must not make each tick go through all broken requests.
+func TestTickDoesNotCountBreaksAgain(t *testing.T) {
+	few, many := tickAllocations(1), tickAllocations(2000)
+	if many > few {
+		t.Errorf("got %g allocations a tick with 2000 broken requests, want %g as with one", many, few)
+	}
+}
+
+// tickAllocations returns the allocations of a tick after so many broken requests, while nothing changes.
+func tickAllocations(broken int) float64 {
+	now := time.Unix(1_000_000, 0)
+	q := New(Config{Announce: func() {}, Now: func() time.Time { return now }, Logger: log.NewNopLogger(), Registry: metrics.NewRegistry()})
+	now = now.Add(startDelay)
+	q.RecordAnswer([]string{"first"})
+	for i := range broken {
+		blocks := []string{"first", fmt.Sprint("subject-", i%700)}
+		q.RecordReport(fmt.Sprint("daemon-", i%195), sharer.Suspicions{
+			Crashes: []sharer.Crash{{Endpoint: fmt.Sprint("endpoint-", i%84), Requests: []sharer.BrokenRequest{{Blocks: blocks, Began: true}}}},
+			Cleared: blocks,
+		})
+	}
+	return testing.AllocsPerRun(100, q.Tick)
+}
+
+// The evidence against a block must be that of the crashes that are remembered, also after some of them
+// are forgotten and blocks are cleared and no longer cleared.
+func TestEvidenceFollowsCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(1, 4))
+		q := newQuarantiner()
+		for range 3000 {
+			var s sharer.Suspicions
+			block := func() string { return fmt.Sprint("block-", rng.IntN(30)) }
+			for range rng.IntN(3) {
+				r := sharer.BrokenRequest{Blocks: []string{block(), block()}, Began: rng.IntN(2) == 0}
+				s.Crashes = append(s.Crashes, sharer.Crash{Endpoint: fmt.Sprint(rng.IntN(20)), Born: rng.Int64N(3), Requests: []sharer.BrokenRequest{r}})
+			}
+			for range rng.IntN(4) {
+				s.Cleared = append(s.Cleared, block())
+			}
+			q.RecordReport(fmt.Sprint(rng.IntN(40)), s)
+			time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+			q.Tick()
+			checkEvidence(t, q)
+		}
+	})
+}
+
+// checkEvidence compares the evidence and the cleared blocks with what all crashes and reports say.
+func checkEvidence(t *testing.T, q *Quarantiner) {
+	t.Helper()
+	evidences, clearedBy := make(map[string]evidence), make(map[string]int)
+	for _, c := range q.crashes {
+		scores := make(map[string]float64)
+		for _, r := range c.requests {
+			for _, b := range r.blocks {
+				scores[b] = max(scores[b], map[bool]float64{true: 1, false: waitingScore}[r.began])
+			}
+		}
+		for b, s := range scores {
+			evidences[b] = evidence{evidences[b].crashes + 1, evidences[b].score + s}
+		}
+	}
+	for _, c := range q.cleared {
+		for _, b := range c.blocks {
+			clearedBy[b]++
+		}
+	}
+	if !maps.Equal(q.evidence, evidences) {
+		t.Fatalf("got evidence %v, want %v", q.evidence, evidences)
+	}
+	if !maps.Equal(q.clearedBy, clearedBy) {
+		t.Fatalf("got cleared blocks %v, want %v", q.clearedBy, clearedBy)
+	}
+}
--- a/internal/traffic/quarantiner/report.go
+++ b/internal/traffic/quarantiner/report.go
@@ -56,15 +56,11 @@
 func (q *Quarantiner) RecordReport(name string, s sharer.Suspicions) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(s.Cleared) == 0 {
-		delete(q.cleared, name)
-	} else {
-		q.cleared[name] = clearedBlocks{s.Cleared, q.cfg.Now()}
-	}
+	q.setCleared(name, s.Cleared)
 	for _, e := range s.Crashes {
 		c := q.crash(crashKey{e.Endpoint, e.Born})
 		for _, r := range e.Requests {
-			c.addRequest(brokenRequest{r.Blocks, r.Began})
+			q.addRequest(c, brokenRequest{r.Blocks, r.Began})
 		}
 	}
 	for _, e := range s.Quarantines {
