Report only a daemon's own broken requests

A daemon that saw one request break off at an endpoint told the others of all broken requests there that it had heard of, as if they were its own. Reports grew with the breaks of the whole fleet, past the 1,100 bytes of a datagram, and each daemon compared each of them with all it knew: breaks squared times daemons. sharer.Crash says that it holds the requests of one daemon.

go test ./traffic/quarantiner -run xxx -bench Breaks -benchtime 300ms in internal, 195 daemons, 6% of 560 answers a second break off, beside other load; bytes of a report, and the time to take in one report of each other daemon:

after before now 5 s 567 B 0.80 ms 514 B 0.75 ms 10 s 1,058 1.03 776 0.81 20 s 2,127 1.92 1,055 1.04

A broken request is now marked as own, also if another daemon reported the same before. TestReportHoldsOwnBrokenRequests printed without it "got crashes [{e 1 [{[a] true} {[b] true} {[c] true}]}]".

--- a/internal/traffic/quarantiner/crash.go
+++ b/internal/traffic/quarantiner/crash.go
@@ -16,6 +16,8 @@
 	blocks []string
 	// began reports that the answer had begun.
 	began bool
+	// isOwn reports that it was a request of this daemon, which tells the others of it.
+	isOwn bool
 }
 
 // crash is what is known of one crash.
@@ -24,8 +26,6 @@
 	requests []brokenRequest
 	// scores holds how much the crash counts against each block.
 	scores map[string]float64
-	// isOwn reports that a request of this daemon broke off, which it tells the others.
-	isOwn bool
 }
 
 // evidence is what several crashes count against one block.
@@ -56,9 +56,7 @@
 		if q.isBurst(p.at) {
 			continue
 		}
-		c := q.crash(p.key)
-		c.isOwn = true
-		confirmed = q.addRequest(c, p.request) || confirmed
+		confirmed = q.addRequest(q.crash(p.key), p.request) || confirmed
 	}
 	// Breaks are kept for a while after they were decided, since later ones may form a burst with them.
 	q.pending = slices.DeleteFunc(q.pending, func(p *pendingCrash) bool { return p.decided && now.Sub(p.at) > 4*burstTime })
@@ -104,8 +102,9 @@
 	if !r.began && len(c.requests) >= maxRequests {
 		return false
 	}
-	for _, known := range c.requests {
+	for i, known := range c.requests {
 		if known.began == r.began && slices.Equal(known.blocks, r.blocks) {
+			c.requests[i].isOwn = known.isOwn || r.isOwn
 			return false
 		}
 	}
--- a/internal/traffic/quarantiner/quarantiner.go
+++ b/internal/traffic/quarantiner/quarantiner.go
@@ -158,7 +158,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.pending = append(q.pending, &pendingCrash{key: crashKey{endpoint, born}, at: q.cfg.Now(), request: brokenRequest{slices.Clone(blocks), began}})
+	q.pending = append(q.pending, &pendingCrash{key: crashKey{endpoint, born}, at: q.cfg.Now(), request: brokenRequest{slices.Clone(blocks), began, true}})
 }
 
 // RecordAnswer records a complete answer to a request with the given blocks.
--- a/internal/traffic/quarantiner/quarantiner_test.go
+++ b/internal/traffic/quarantiner/quarantiner_test.go
@@ -404,6 +404,29 @@
 	return testing.AllocsPerRun(100, q.Tick)
 }
 
+// A daemon must report its own broken requests only: with those of others, each report grew with all breaks
+// of the fleet.
+func TestReportHoldsOwnBrokenRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuarantiner()
+		q.RecordReport("another", sharer.Suspicions{Crashes: []sharer.Crash{
+			{Endpoint: "e", Born: 1, Requests: []sharer.BrokenRequest{{Blocks: []string{"a"}, Began: true}, {Blocks: []string{"b"}, Began: true}}},
+			{Endpoint: "f", Born: 1, Requests: []sharer.BrokenRequest{{Blocks: []string{"a"}, Began: true}}},
+		}})
+		q.RecordBreak("e", 1, []string{"b"}, true)
+		q.RecordBreak("e", 1, []string{"c"}, true)
+		time.Sleep(time.Second)
+		q.Tick()
+		got, want := fmt.Sprint(q.LocalReport().Crashes), "[{e 1 [{[b] true} {[c] true}]}]"
+		if got != want {
+			t.Errorf("got crashes %s, want %s", got, want)
+		}
+		if got := len(q.crashes[crashKey{"e", 1}].requests); got != 3 {
+			t.Errorf("got %d broken requests known at the endpoint, want 3", got)
+		}
+	})
+}
+
 // The evidence against a block must be that of the crashes that are remembered, also after some of them
 // are forgotten and blocks are cleared and no longer cleared.
 func TestEvidenceFollowsCrashes(t *testing.T) {
--- a/internal/traffic/quarantiner/report.go
+++ b/internal/traffic/quarantiner/report.go
@@ -14,8 +14,8 @@
 	defer q.mu.Unlock()
 	var out sharer.Suspicions
 	for k, c := range q.crashes {
-		if c.isOwn && len(out.Crashes) < maxShared {
-			out.Crashes = append(out.Crashes, c.encode(k))
+		if e := c.encodeOwn(k); len(e.Requests) > 0 && len(out.Crashes) < maxShared {
+			out.Crashes = append(out.Crashes, e)
 		}
 	}
 	out.Cleared = q.answeredSuspects()
@@ -28,10 +28,13 @@
 	return out
 }
 
-func (c *crash) encode(k crashKey) sharer.Crash {
+// encodeOwn returns a crash with the requests of this daemon that broke off.
+func (c *crash) encodeOwn(k crashKey) sharer.Crash {
 	out := sharer.Crash{Endpoint: k.endpoint, Born: k.born}
 	for _, r := range c.requests {
-		out.Requests = append(out.Requests, sharer.BrokenRequest{Blocks: r.blocks, Began: r.began})
+		if r.isOwn {
+			out.Requests = append(out.Requests, sharer.BrokenRequest{Blocks: r.blocks, Began: r.began})
+		}
 	}
 	return out
 }
@@ -60,7 +63,7 @@
 	for _, e := range s.Crashes {
 		c := q.crash(crashKey{e.Endpoint, e.Born})
 		for _, r := range e.Requests {
-			q.addRequest(c, brokenRequest{r.Blocks, r.Began})
+			q.addRequest(c, brokenRequest{r.Blocks, r.Began, false})
 		}
 	}
 	for _, e := range s.Quarantines {
