Send no empty success to a caller that closed its sending side

A caller that closed its sending side, after its request or within the body, got an empty answer with status 200 that no endpoint had sent. The HTTP server cancels the request's context as soon as it reads the end of the connection, or an error while it reads the body; the carrier took that as a caller who had left and wrote nothing, and the HTTP server then completes the answer as 200. The carrier now writes its refusal in any case: to a caller that has left it is lost.

TestCallerThatClosedItsSendingSideGetsNoSuccess without the change, in both cases: got status 200, want a failure or no answer.

--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -189,7 +189,9 @@
 func (c *Carrier) finishRequest(ctx context.Context, q *request, err error) {
 	gone := ctx.Err() != nil
 	var r *refuser.Refusal
-	if errors.As(err, &r) && !gone && !q.events.started {
+	// Without an answer from here the HTTP server would send 200, also to a caller that is still there and
+	// has closed only its sending side.
+	if errors.As(err, &r) && !q.events.started {
 		q.status = r.Status
 		if r.RetryAfter > 0 {
 			q.w.Header().Set("Retry-After", c.cfg.Codec.RetryAfter(r.RetryAfter))
