Answer the requests in flight at the end of a planned stop

At the end of the grace period the daemon closed the connections of the requests that were still in flight, so that their callers got no answer: neither those whose body was not complete, nor those that waited for an endpoint. The carrier now ends them just before: a request that no endpoint got is refused with 503 and Retry-After, one whose answer has not begun gets 502, which promises nothing. Only a stream in the middle is cut off. The time comes from the margin before the process is killed, of which shutdownTimeout left half unused.

TestEndOfStopAnswersRequestsInFlight without the change: long: got status 0 (unexpected EOF), want 502, likewise read and stream; incomplete body: got status 0, Retry-After "" (unexpected EOF), want 503 with Retry-After.

--- a/internal/daemon/composer/server.go
+++ b/internal/daemon/composer/server.go
@@ -22,8 +22,6 @@
 const (
 	// headerTimeout bounds the time to read the header of a request.
 	headerTimeout = 10 * time.Second
-	// shutdownTimeout bounds how long a stop waits for answers that are still being sent.
-	shutdownTimeout = 300 * time.Millisecond
 	// maxHeaderBytes bounds what the server reads of a request's header, whatever the header limit
 	// of the configuration is.
 	maxHeaderBytes = 64 << 10
@@ -85,12 +83,12 @@
 // a connection that is being closed.
 func (s *callerServer) disableKeepAlives() { s.http.SetKeepAlivesEnabled(false) }
 
-// shutdown closes the listener and the idle connections, and waits for at most shutdownTimeout for
-// answers that are still being sent.
-func (s *callerServer) shutdown(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+// shutdown closes the listener and the idle connections, and waits for at most the timeout for answers
+// that are still being sent.
+func (s *callerServer) shutdown(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	// Requests that are in flight after the timeout are cut off, so the error is ignored.
+	// Requests that are in flight at the end are cut off, so the error is ignored.
 	_ = s.http.Shutdown(ctx)
 }
 
--- a/internal/daemon/composer/stop.go
+++ b/internal/daemon/composer/stop.go
@@ -40,10 +40,19 @@
 		}
 		time.Sleep(stopPollPeriod)
 	}
-	d.callerServer.shutdown(ctx)
+	d.endServing(ctx)
 	d.log("msg", "drained", "in_flight", d.carrier.InFlight(), "took", time.Since(began))
 }
 
+// endServing stops listening for callers and ends the requests that are still in flight, within two
+// thirds of the margin before the process is killed. The first half of the margin is left to answers
+// that are being sent, and after it a sixth to the failures that the carrier sends in place of others.
+func (d *Daemon) endServing(ctx context.Context) {
+	d.callerServer.shutdown(ctx, killMargin/2)
+	d.carrier.EndRequests()
+	d.callerServer.shutdown(ctx, killMargin/6)
+}
+
 // stopActions returns what a planned stop does after the given time: whether it refuses new
 // requests and whether it ends the daemon. It ends the daemon after last even if requests are in
 // flight.
--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -97,10 +97,17 @@
 	stopping atomic.Bool
 	closed   atomic.Bool
 	inFlight atomic.Int64
+	// ending is done once the requests in flight must end; endRequests ends it.
+	ending      context.Context
+	endRequests context.CancelFunc
 }
 
 // New returns a carrier.
-func New(cfg Config) *Carrier { return &Carrier{cfg: cfg} }
+func New(cfg Config) *Carrier {
+	c := &Carrier{cfg: cfg}
+	c.ending, c.endRequests = context.WithCancel(context.Background())
+	return c
+}
 
 // DisableKeepAlives makes the carrier close each caller's connection after its current answer.
 func (c *Carrier) DisableKeepAlives() { c.stopping.Store(true) }
@@ -178,6 +185,8 @@
 func (c *Carrier) serveWithDeadline(ctx context.Context, q *request) error {
 	ctx, cancel := context.WithDeadline(ctx, q.expiry)
 	defer cancel()
+	stop := context.AfterFunc(c.ending, cancel)
+	defer stop()
 	return c.serveWithRetries(ctx, q)
 }
 
@@ -187,7 +196,8 @@
 // finishRequest sends a refusal to the caller if the request failed, and records the
 // outcome of every request.
 func (c *Carrier) finishRequest(ctx context.Context, q *request, err error) {
-	gone := ctx.Err() != nil
+	// At the end of a stop the daemon itself may have interrupted the read of the body.
+	gone := ctx.Err() != nil && c.ending.Err() == nil
 	var r *refuser.Refusal
 	// Without an answer from here the HTTP server would send 200, also to a caller that is still there and
 	// has closed only its sending side.
@@ -211,7 +221,7 @@
 	call, err := c.cfg.Codec.Decode(r)
 	q.Call = call
 	if c.closed.Load() {
-		return &refuser.Refusal{Status: http.StatusServiceUnavailable, Title: "stopping", Detail: "the daemon stops", RetryAfter: minRetryAfter}
+		return newStopRefusal(nil)
 	}
 	cat := c.cfg.Catalog()
 	if cat == nil {
@@ -224,7 +234,8 @@
 	if err := c.resolveRoute(q, cat, r); err != nil {
 		return err
 	}
-	if q.body, err = readBody(r, cat.Limits.BodyBytes); err != nil {
+	q.expiry = q.start.Add(q.timeout())
+	if err := c.readBodyUntilEnd(q, r, cat.Limits.BodyBytes); err != nil {
 		return err
 	}
 	if err := c.checkQuarantine(q); err != nil {
@@ -233,7 +244,6 @@
 	if q.route.IsRepeatable() {
 		q.events.order.lastID = q.LastEvent
 	}
-	q.expiry = q.start.Add(q.timeout())
 	q.query = chooser.Query{
 		Service: q.service.Name, PromptTokens: q.Prompt, MaxOutputTokens: q.Output, PromptBlocks: q.Parts, AllowsRelease: c.cfg.Trials.AllowedReleases(q.service.Name, q.ID),
 	}
--- a/internal/traffic/carrier/serve.go
+++ b/internal/traffic/carrier/serve.go
@@ -184,6 +184,8 @@
 		}
 	case timeout:
 		return &refuser.Refusal{Status: http.StatusGatewayTimeout, Title: "timeout", Detail: "no answer in time", Run: q.runState, Err: err}
+	case c.ending.Err() != nil:
+		return &refuser.Refusal{Status: http.StatusBadGateway, Title: "stopping", Detail: "the daemon stopped before the answer", Run: q.runState, Err: err}
 	}
 	return &refuser.Refusal{Status: http.StatusBadGateway, Title: "broken", Detail: "the endpoint gave no whole answer", Run: q.runState, Err: err}
 }
