Decide at each attempt whether a planned stop leaves time for the request

In a planned stop, requests were passed on late in the grace period and ended by it, among them some that must not run twice. The carrier decided once, when the header of a request came, and by a flag that was set 2.7 s after the signal, if the grace period was that long. A body that came slowly, an attempt that the endpoint refused after a while, a time limit longer than the rest of the grace period, and each request in a grace period under 3.3 s came past that.

The carrier now knows the times of the stop and decides at each attempt. A request that must not run twice is passed on only if its own time limit ends before the stop, whatever the clock says then; others while new requests are accepted. A stream whose time limit is later is taken, also if it cannot be resumed: most end long before it, and a caller that is refused may meet the same daemon again. A repeatable request that may have run is tried again until the end, since the daemon gives up attempts without an answer. What is not passed on gets 503 with Retry-After, at once where the header shows it.

--- a/internal/daemon/composer/stop.go
+++ b/internal/daemon/composer/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"pomelotiller/internal/traffic/carrier"
 )
 
 const (
@@ -24,15 +26,14 @@
 // period is nearly over, and closes the server for callers.
 func (d *Daemon) stopGracefully(ctx context.Context) {
 	began := time.Now()
+	last := d.currentSettings().Edge.Grace.Std() - killMargin
+	d.carrier.BeginStop(carrier.StopTimes{Refuse: began.Add(acceptDuration), End: began.Add(last)})
 	d.isStopping.Store(true)
-	d.carrier.DisableKeepAlives()
 	d.sharer.AnnounceStop()
 	d.log("msg", "stopping", "in_flight", d.carrier.InFlight())
-	last := d.currentSettings().Edge.Grace.Std() - killMargin
 	for ctx.Err() == nil {
 		refuse, end := stopActions(time.Since(began), last, d.carrier.InFlight())
 		if refuse {
-			d.carrier.RefuseRequests()
 			d.callerServer.disableKeepAlives()
 		}
 		if end {
--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -94,9 +94,9 @@
 // Its methods are safe for concurrent use.
 type Carrier struct {
 	cfg      Config
-	stopping atomic.Bool
-	closed   atomic.Bool
 	inFlight atomic.Int64
+	// stop holds the times of a planned stop; nil while there is none.
+	stop atomic.Pointer[StopTimes]
 	// ending is done once the requests in flight must end; endRequests ends it.
 	ending      context.Context
 	endRequests context.CancelFunc
@@ -109,13 +109,6 @@
 	return c
 }
 
-// DisableKeepAlives makes the carrier close each caller's connection after its current answer.
-func (c *Carrier) DisableKeepAlives() { c.stopping.Store(true) }
-
-// RefuseRequests makes the carrier refuse new requests, for when the daemon stops and has no
-// time left to answer them.
-func (c *Carrier) RefuseRequests() { c.closed.Store(true) }
-
 // InFlight returns the number of requests that are being served.
 func (c *Carrier) InFlight() int { return int(c.inFlight.Load()) }
 
@@ -163,7 +156,7 @@
 func (c *Carrier) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
-	if c.stopping.Load() {
+	if c.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	ctx := c.cfg.Tracer.Propagation.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
@@ -220,7 +213,7 @@
 func (c *Carrier) admitRequest(q *request, r *http.Request) error {
 	call, err := c.cfg.Codec.Decode(r)
 	q.Call = call
-	if c.closed.Load() {
+	if c.isRefusing() {
 		return newStopRefusal(nil)
 	}
 	cat := c.cfg.Catalog()
@@ -235,6 +228,9 @@
 		return err
 	}
 	q.expiry = q.start.Add(q.timeout())
+	if err := c.checkStop(q); err != nil {
+		return err
+	}
 	if err := c.readBodyUntilEnd(q, r, cat.Limits.BodyBytes); err != nil {
 		return err
 	}
--- a/internal/traffic/carrier/serve.go
+++ b/internal/traffic/carrier/serve.go
@@ -48,6 +48,9 @@
 	now := time.Now()
 	c.cfg.Budget.RecordRequest(q.service.Name, now)
 	for {
+		if err := c.checkStop(q); err != nil {
+			return c.endFailedRequest(ctx, q, err)
+		}
 		ch, err := c.chooseEndpoint(q)
 		if err != nil {
 			return c.endFailedRequest(ctx, q, err)
