--- a/internal/daemon/composer/composer_test.go
+++ b/internal/daemon/composer/composer_test.go
@@ -29,3 +29,20 @@
 		}
 	}
 }
+
+// A stop with a grace period shorter than the time for which daemons accept requests refused none before its
+// end, and one with a grace period below the margin before the kill ended at once.
+func TestShortGraceLeavesTimeToAnswer(t *testing.T) {
+	for _, grace := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second, time.Minute} {
+		last := grace - killMargin(grace)
+		if last >= grace || last < grace*5/6 {
+			t.Errorf("grace %s: got a wait of %s, want five sixths of it at least, and less than all", grace, last)
+		}
+		if refuse, _ := stopActions(0, last, 1); refuse {
+			t.Errorf("grace %s: got requests refused at once, want not", grace)
+		}
+		if refuse, end := stopActions(last*7/10, last, 1); !refuse && last < 3*time.Second || end {
+			t.Errorf("grace %s: after %s got refuse %t, end %t, want requests refused before the end", grace, last*7/10, refuse, end)
+		}
+	}
+}
