Shorten a planned stop if a reload shortens the grace period

A stop kept the grace period that was in force at the signal. If the settings file had just been changed, or changed during the stop, to a shorter one, the process would be killed with requests in flight. A shorter period now applies at once; a longer one does not, since the time of the kill may have been set at the signal.

TestReloadDuringStopOnlyShortensGrace without the change, 10m0s to 2s: a graceful stop does not end.

--- a/internal/daemon/composer/stop.go
+++ b/internal/daemon/composer/stop.go
@@ -49,6 +49,11 @@
 	d.sharer.AnnounceStop()
 	d.log("msg", "stopping", "in_flight", d.carrier.InFlight())
 	for ctx.Err() == nil {
+		if g := d.currentSettings().Edge.Grace.Std(); g < grace {
+			// A longer one does not count: the time of the kill may have been set at the signal.
+			grace = g
+			d.beginStop(began, grace)
+		}
 		last := grace - killMargin(grace)
 		refuse, end := stopActions(time.Since(began), last, d.carrier.InFlight())
 		if refuse {
