Soak streams that are resumed by endpoints that do it wrong

It now injects rejections, restarts, skipped events, errors and other answers inside streams, wrong lengths, cut heads and stalled refusals, and checks that what a caller has of each stream, whole or broken, is its start.

--- a/internal/daemon/soaker/faults_test.go
+++ b/internal/daemon/soaker/faults_test.go
@@ -47,7 +47,14 @@
 // answerFaults are the faults that an endpoint may inject into a single answer.
 var answerFaults = []responder.Fault{
 	responder.FaultRefuse, responder.FaultError, responder.FaultReset, responder.FaultNoAnswer, responder.FaultCut, responder.FaultForeign,
-	responder.FaultExtra, responder.FaultUnframed, responder.FaultUnframedReset, responder.FaultSplit,
+	responder.FaultExtra, responder.FaultUnframed, responder.FaultUnframedReset, responder.FaultSplit, responder.FaultStalledRefusal,
+	responder.FaultHeadCut, responder.FaultEarly, responder.FaultReject,
+}
+
+// streamFaults are the further faults that an endpoint may inject into a single stream.
+var streamFaults = []responder.Fault{
+	responder.FaultUnframedCut, responder.FaultUnframedEmpty, responder.FaultOtherAnswer, responder.FaultErrorInside, responder.FaultWrongLength,
+	responder.FaultRestart, responder.FaultSkip, responder.FaultTrickle,
 }
 
 // failedAnswersInRow is the number of consecutive answers that fail in one of three variants of the fault
@@ -60,7 +67,11 @@
 	if p.variant%3 == 0 {
 		n = failedAnswersInRow
 	}
-	p.endpoint.QueueFaults(slices.Repeat([]responder.Fault{answerFaults[p.variant%len(answerFaults)]}, n)...)
+	faults := answerFaults
+	if p.endpoint.service == "pool" {
+		faults = slices.Concat(answerFaults, streamFaults)
+	}
+	p.endpoint.QueueFaults(slices.Repeat([]responder.Fault{faults[p.variant%len(faults)]}, n)...)
 }
 
 // linkBehaviours are the faults of TCP links.
--- a/internal/daemon/soaker/invariants_test.go
+++ b/internal/daemon/soaker/invariants_test.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"pomelotiller/internal/standin/responder"
@@ -36,6 +37,7 @@
 	{"at most once", checkMaxRuns},
 	{"a refused request has not run", checkRefusals},
 	{"answers are complete", checkAnswerBodies},
+	{"streams hold their events in order and nothing else", checkStreamOrder},
 	{"each request gets an answer in time", checkAnswerTimes},
 	{"leaving endpoints get no new requests", checkLeavingEndpoints},
 	{"the newest configuration is in force", checkConfig},
@@ -109,6 +111,17 @@
 	}
 }
 
+// checkStreamOrder checks that what a caller received of a stream, whole or broken off, is the start of the
+// stream: no event is missing or comes twice, and nothing stands between them.
+func checkStreamOrder(_ *testbed, h *history, reportViolation func(string, ...any)) {
+	whole := responder.Stream(eventsPerStream)
+	for _, r := range h.records {
+		if r.kind == "stream" && r.answer.Status == http.StatusOK && !strings.HasPrefix(whole, r.answer.Body) {
+			reportViolation("request %s got %q (%v) at %s, want the start of the stream", r.id, r.answer.Body, r.answer.Err, r.daemon.name)
+		}
+	}
+}
+
 // checkAnswerTimes checks that each request gets an answer in time from a daemon whose process runs, and
 // an answer from one that still accepts requests during a graceful stop.
 func checkAnswerTimes(_ *testbed, h *history, reportViolation func(string, ...any)) {
--- a/internal/daemon/soaker/observations_test.go
+++ b/internal/daemon/soaker/observations_test.go
@@ -51,7 +51,7 @@
 }
 
 // requestKinds lists the kinds of requests with the relative frequency at which callers send them.
-var requestKinds = []string{"once", "once", "read", "read", "stream", "further"}
+var requestKinds = []string{"once", "once", "read", "read", "stream", "stream", "further"}
 
 // sendRequests sends requests to a daemon on persistent connections until ctx ends.
 func (w *testbed) sendRequests(ctx context.Context, d *daemon, name string, r *rand.Rand) {
--- a/internal/standin/responder/answer.go
+++ b/internal/standin/responder/answer.go
@@ -172,10 +172,10 @@
 
 func (e *Endpoint) writeStream(c net.Conn, n int, id string, fault Fault) bool {
 	from := e.Runs()[n].From
-	switch fault {
-	case FaultRestart:
+	switch {
+	case fault == FaultRestart:
 		from = 0
-	case FaultSkip:
+	case fault == FaultSkip && from > 0:
 		from++
 	}
 	switch fault {
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -82,7 +82,7 @@
 	FaultWrongLength
 	// FaultRestart streams from the first event on, also to a caller that has some already.
 	FaultRestart
-	// FaultSkip leaves out the first event of a stream.
+	// FaultSkip leaves out the first event that a caller who resumes a stream does not have.
 	FaultSkip
 	// FaultHeadCut runs the request, sends Config.HeadBytes bytes of an answer's head and closes the
 	// connection.
