Share the extra retries among assumed daemons in the first window

Cause: a daemon that reads the members from the store before the others have written theirs counts itself alone until it hears of them, and took the extra retries of the whole fleet for its own. One that is restarted has forgotten the retries of its window.

TestBudgetOfDaemonsThatHaveJustStarted printed without it: got 288 retries of nine daemons that know of no other, want 32 at most.

In the first window after its start a daemon now shares them with at least as many daemons as it assumes for allowances before it has joined. The ratio to its own requests is not limited.

--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -241,7 +241,7 @@
 
 func retryBudgetConfig(s loader.Settings) limiter.BudgetConfig {
 	r := s.Edge.Retries
-	return limiter.BudgetConfig{Ratio: r.Ratio, Window: r.Window.Std(), Extra: r.Extra}
+	return limiter.BudgetConfig{Ratio: r.Ratio, Window: r.Window.Std(), Extra: r.Extra, AssumedMembers: assumedMembers}
 }
 
 func allowanceTolerance(s loader.Settings) limiter.Tolerance {
--- a/internal/traffic/limiter/budget.go
+++ b/internal/traffic/limiter/budget.go
@@ -17,6 +17,9 @@
 	// Extra is the number of retries that all daemons together may make in a window in addition
 	// to the ratio.
 	Extra float64
+	// AssumedMembers is the least number of daemons that is assumed in the first window, in which a
+	// daemon may not have heard of the others, nor know the retries that it made before a restart.
+	AssumedMembers int
 }
 
 // Budget is a retry budget per service over a sliding window. Each daemon allows retries in
@@ -75,7 +78,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.slidingWindow(service, now)
-	limit := b.cfg.Ratio*float64(sumCounts(h.requests)) + b.cfg.Extra/float64(b.members)
+	members := b.members
+	if now.Sub(b.start) < b.cfg.Window {
+		members = max(members, b.cfg.AssumedMembers)
+	}
+	limit := b.cfg.Ratio*float64(sumCounts(h.requests)) + b.cfg.Extra/float64(members)
 	if float64(sumCounts(h.retries)+1) > limit {
 		return false
 	}
--- a/internal/traffic/limiter/budget_test.go
+++ b/internal/traffic/limiter/budget_test.go
@@ -26,6 +26,33 @@
 	}
 }
 
+// Daemons that have just started and have not heard of each other must not spend the extra retries of the
+// fleet once each (BUDGET).
+func TestBudgetOfDaemonsThatHaveJustStarted(t *testing.T) {
+	cfg := BudgetConfig{Window: 10 * time.Second, Extra: 32, AssumedMembers: 16}
+	start := time.Unix(100, 0)
+	total := 0
+	for range 9 {
+		b := NewBudget(cfg)
+		b.RecordRequest("a", start)
+		for b.TakeRetry("a", start.Add(3*time.Second)) {
+			total++
+		}
+	}
+	if want := int(cfg.Extra); total > want {
+		t.Errorf("got %d retries of nine daemons that know of no other, want %d at most", total, want)
+	}
+	b := NewBudget(cfg)
+	b.RecordRequest("a", start)
+	n := 0
+	for b.TakeRetry("a", start.Add(cfg.Window)) {
+		n++
+	}
+	if want := int(cfg.Extra); n != want {
+		t.Errorf("got %d retries of a daemon that is alone after the first window, want %d", n, want)
+	}
+}
+
 func TestBudgetWindowSlides(t *testing.T) {
 	b := NewBudget(BudgetConfig{Ratio: 1, Window: 10 * time.Second})
 	at := func(s float64) time.Time { return time.Unix(100, 0).Add(time.Duration(s * float64(time.Second))) }
