Stop daemons with slow bodies and short grace periods in the soak

The soak stopped daemons only with a grace period of 5 s and with bodies that come at once, so it did not see requests that a planned stop passes on and ends.

--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -35,6 +35,30 @@
 	Method string
 	Path   string
 	Body   string
+	// BodyPause is the time between the header and the body; 0 sends them together.
+	BodyPause time.Duration
+}
+
+// slowBody is a reader of a body that pauses before its first byte. It is of a type that the HTTP client
+// does not know, so that the client sends the header before it reads the body.
+type slowBody struct {
+	io.Reader
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (b *slowBody) Read(p []byte) (int, error) {
+	time.Sleep(b.pause)
+	b.pause = 0
+	return b.Reader.Read(p)
+}
+
+// body returns the body of the request.
+func (r Request) body() io.Reader {
+	if r.BodyPause > 0 {
+		return &slowBody{strings.NewReader(r.Body), r.BodyPause}
+	}
+	return strings.NewReader(r.Body)
 }
 
 // Answer is the answer that a caller received. Status is 0 if there was none; Err is
@@ -57,10 +81,11 @@
 
 // Do sends a request and reads the complete answer.
 func (c *Caller) Do(ctx context.Context, r Request) Answer {
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+c.cfg.Address+r.Path, strings.NewReader(r.Body))
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+c.cfg.Address+r.Path, r.body())
 	if err != nil {
 		return Answer{Err: err}
 	}
+	req.ContentLength = int64(len(r.Body))
 	req.Host = c.cfg.Host
 	// Without GetBody the HTTP client cannot read the body again, so it never sends a
 	// request twice.
