Log an attempt without reading its connection

Found by the race detector in the tests of planned stops: the log line of an attempt read whether its connection had been reused after the connection was back in the pool, while the next request marked it as reused. The line could say reused=true of a new connection, which is what tells a stale connection from a hanging endpoint.

The attempt keeps the mark when it gets the connection.

--- a/internal/traffic/carrier/account.go
+++ b/internal/traffic/carrier/account.go
@@ -86,7 +86,7 @@
 		fields = append(fields, "first", a.firstByteAt.Sub(a.sentAt))
 	}
 	if a.conn != nil {
-		fields = append(fields, "reused", a.conn.Reused)
+		fields = append(fields, "reused", a.reused)
 	}
 	fields = append(fields, answerFields(a)...)
 	if err != nil {
--- a/internal/traffic/carrier/attempt.go
+++ b/internal/traffic/carrier/attempt.go
@@ -50,9 +50,12 @@
 	// body is set once deliverBufferedAnswer has read all of it.
 	body []byte
 
-	c           *Carrier
-	ctx         context.Context
-	conn        *dialer.Conn
+	c    *Carrier
+	ctx  context.Context
+	conn *dialer.Conn
+	// reused says that conn carried a request before. It is kept here since conn may carry another one
+	// once the attempt is finished.
+	reused      bool
 	attempt     *chooser.Attempt
 	writeResult chan error
 	cancel      context.CancelFunc
@@ -112,7 +115,7 @@
 	if err != nil {
 		return &attemptError{reason: "no connection", err: err}
 	}
-	a.conn = conn
+	a.conn, a.reused = conn, conn.Reused
 	return nil
 }
 
@@ -228,7 +231,7 @@
 // checkVerdict applies what the answer says about its endpoint, and returns an
 // error if the endpoint did not run the request.
 func (a *answer) checkVerdict(q *request) error {
-	if a.verdict.Unnamed && a.conn.Reused {
+	if a.verdict.Unnamed && a.reused {
 		// It may be an answer to an earlier request on the connection, written once more.
 		q.runState = max(q.runState, refuser.Unknown)
 		return &attemptError{maybeSent: true, reason: fmt.Sprintf("answer with status %d does not name its request", a.res.StatusCode), err: errUnnamed}
--- a/internal/traffic/carrier/outcome.go
+++ b/internal/traffic/carrier/outcome.go
@@ -71,7 +71,7 @@
 		}
 	case a.ctx.Err() != nil:
 		c.recordOutcome(q, a, OutcomeNone)
-	case a.res != nil || !a.conn.Reused:
+	case a.res != nil || !a.reused:
 		// An idle connection may have been closed before the request reached the endpoint.
 		c.recordOutcome(q, a, OutcomeBroken)
 	}
