Record in the stand-in engine which caches are transferred, and log them when a test fails

TestEngineReclaimed fails beside other work with more tokens recomputed than imports, and nothing showed why: engines counted imports, resumed requests and recomputed tokens in total only. They now keep the time, the request and the covered and needed tokens of each export, import and resume, under GET /transfers/list, and the test logs these and the daemons' counts of failed attempts and transfers if it fails.

--- a/internal/daemon/verifier/idle_test.go
+++ b/internal/daemon/verifier/idle_test.go
@@ -67,21 +67,30 @@
 func (d *daemon) metricSum(t testing.TB, name string) float64 {
 	t.Helper()
 	var sum float64
-	for line := range strings.Lines(string(mustRequest(t, http.MethodGet, "http://"+d.operatorAddress+"/metrics", nil, nil))) {
-		rest, ok := strings.CutPrefix(line, meter.Prefix+name)
-		if !ok || rest[0] != ' ' && rest[0] != '{' {
-			continue
-		}
-		fields := strings.Fields(rest)
+	for _, line := range d.metricLines(t, name) {
+		fields := strings.Fields(line)
 		n, err := strconv.ParseFloat(fields[len(fields)-1], 64)
 		if err != nil {
-			t.Fatalf("metric %s: %v", line, err)
+			t.Fatalf("metric %s%s: %v", name, line, err)
 		}
 		sum += n
 	}
 	return sum
 }
 
+// metricLines returns the labels and the value of each line of a daemon's metric.
+func (d *daemon) metricLines(t testing.TB, name string) []string {
+	t.Helper()
+	var lines []string
+	for line := range strings.Lines(string(mustRequest(t, http.MethodGet, "http://"+d.operatorAddress+"/metrics", nil, nil))) {
+		rest, ok := strings.CutPrefix(line, meter.Prefix+name)
+		if ok && (rest[0] == ' ' || rest[0] == '{') {
+			lines = append(lines, strings.TrimSpace(rest))
+		}
+	}
+	return lines
+}
+
 // processorTime reads the user plus system time of a process.
 func processorTime(t testing.TB, pid int) time.Duration {
 	t.Helper()
--- a/internal/daemon/verifier/stream_faults_test.go
+++ b/internal/daemon/verifier/stream_faults_test.go
@@ -1,9 +1,11 @@
 package verifier
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -86,6 +88,30 @@
 	return sum
 }
 
+// logTransfers logs each export, import and resume at the engines that are left, and the daemons'
+// counts of failed attempts and transfers, if the test has failed.
+func (s *streamCluster) logTransfers(before ...generator.Transfer) {
+	s.t.Helper()
+	if !s.t.Failed() {
+		return
+	}
+	all := before
+	for _, addr := range s.engineAddresses {
+		all = append(all, getJSON[[]generator.Transfer](s.t, addr, "/transfers/list")...)
+	}
+	slices.SortFunc(all, func(a, b generator.Transfer) int {
+		return cmp.Or(cmp.Compare(a.Request, b.Request), a.At.Compare(b.At))
+	})
+	for _, x := range all {
+		s.t.Logf("%s %s of %s: covered %d, needed %d", x.At.Format(time.StampMicro), x.Kind, x.Request, x.Covered, x.Needed)
+	}
+	for _, d := range s.daemons {
+		for _, name := range []string{"attempt_failures_total", "cache_transfers_total"} {
+			s.t.Logf("%s %s: %s", d.name, name, d.metricLines(s.t, name))
+		}
+	}
+}
+
 // TestEngineKilled kills one of three engines during 24 streams. Its streams must resume at
 // the other engines, and all must end with the complete text.
 func TestEngineKilled(t *testing.T) {
@@ -123,6 +149,7 @@
 	if got := getJSON[inferrer.Load](t, s.engineAddresses[0], "/load").Running; got != 0 {
 		t.Errorf("got %d streams at the leaving engine a second after its notice, want 0", got)
 	}
+	exports := getJSON[[]generator.Transfer](t, s.engineAddresses[0], "/transfers/list")
 	s.engines[0].signal(t, syscall.SIGKILL)
 	s.engineAddresses = s.engineAddresses[1:]
 	for w := range failures {
@@ -133,6 +160,7 @@
 	if got.Imports == 0 || got.Recomputed > got.Imports {
 		t.Errorf("got transfers %+v, want imports and on average at most one token recomputed for each", got)
 	}
+	s.logTransfers(exports...)
 }
 
 // TestStalledConnections stalls every open connection to the only engine, while new connections work.
--- a/internal/standin/generator/transfer.go
+++ b/internal/standin/generator/transfer.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"pomelotiller/internal/remote/inferrer"
 )
@@ -16,6 +18,8 @@
 	kvPathPrefix = "/kv/"
 	// maxKVCaches is the maximum number of requests whose KV caches are kept.
 	maxKVCaches = 4096
+	// maxTransfers is the maximum number of transfers that are recorded.
+	maxTransfers = 4096
 )
 
 // kvCache is the simulated KV cache of one request: its prompt and the first tokens
@@ -39,11 +43,36 @@
 	Recomputed int `json:"recomputed"`
 }
 
+// TransferKind is what happened to the KV cache of a request.
+type TransferKind string
+
+const (
+	// TransferExport is an export of the cache to another engine.
+	TransferExport TransferKind = "export"
+	// TransferImport is an import of the cache from another engine.
+	TransferImport TransferKind = "import"
+	// TransferResume is an attempt that resumes the answer after a token.
+	TransferResume TransferKind = "resume"
+)
+
+// Transfer is one export, import or resume, for tests that trace recomputed tokens.
+type Transfer struct {
+	At      time.Time    `json:"at"`
+	Kind    TransferKind `json:"kind"`
+	Request string       `json:"request"`
+	// Covered is the number of prompt and answer tokens that the KV cache covered.
+	Covered int `json:"covered"`
+	// Needed is the number of prompt and answer tokens that a resumed request needed; 0
+	// for other kinds.
+	Needed int `json:"needed"`
+}
+
 // kvCacheStore holds the KV caches of requests by request ID.
 type kvCacheStore struct {
-	mu     sync.Mutex
-	caches map[string]kvCache
-	counts TransferCounts
+	mu        sync.Mutex
+	caches    map[string]kvCache
+	counts    TransferCounts
+	transfers []Transfer
 }
 
 // TransferCounts returns the counts so far.
@@ -53,8 +82,15 @@
 	return g.kvCaches.counts
 }
 
-// withTransfer serves the export and import of KV caches and GET /transfers, and
-// maintains a KV cache for each completion that next serves.
+// Transfers returns the first maxTransfers exports, imports and resumes, oldest first.
+func (g *Generator) Transfers() []Transfer {
+	g.kvCaches.mu.Lock()
+	defer g.kvCaches.mu.Unlock()
+	return slices.Clone(g.kvCaches.transfers)
+}
+
+// withTransfer serves the export and import of KV caches, GET /transfers and GET
+// /transfers/list, and maintains a KV cache for each completion that next serves.
 func (g *Generator) withTransfer(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		id, isCache := strings.CutPrefix(r.URL.Path, kvPathPrefix)
@@ -65,6 +101,8 @@
 			g.kvCaches.serveImport(w, r, id)
 		case r.Method == http.MethodGet && r.URL.Path == "/transfers":
 			writeJSON(w, g.TransferCounts())
+		case r.Method == http.MethodGet && r.URL.Path == "/transfers/list":
+			writeJSON(w, g.Transfers())
 		case isCompletion(r):
 			g.kvCaches.serveCountedCompletion(w, r, next)
 		default:
@@ -78,6 +116,7 @@
 	c, ok := k.caches[id]
 	if ok {
 		k.counts.Exports++
+		k.record(TransferExport, id, c.coveredTokens(), 0)
 	}
 	k.mu.Unlock()
 	if !ok {
@@ -96,9 +135,20 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.counts.Imports++
+	k.record(TransferImport, id, c.coveredTokens(), 0)
 	k.putCache(id, c)
 }
 
+// coveredTokens returns the number of prompt and answer tokens that the cache covers.
+func (c kvCache) coveredTokens() int { return inferrer.Tokens(c.Prompt) + c.Tokens }
+
+// record adds a transfer to those recorded. The caller must hold k.mu.
+func (k *kvCacheStore) record(kind TransferKind, id string, covered, needed int) {
+	if len(k.transfers) < maxTransfers {
+		k.transfers = append(k.transfers, Transfer{At: time.Now(), Kind: kind, Request: id, Covered: covered, Needed: needed})
+	}
+}
+
 // putCache stores the KV cache of a request and evicts an arbitrary one if there are
 // too many. The caller must hold k.mu.
 func (k *kvCacheStore) putCache(id string, c kvCache) {
@@ -140,11 +190,12 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if previous, ok := k.caches[id]; ok && previous.Version == c.Version && previous.Prompt == c.Prompt {
-		c.initialTokens = inferrer.Tokens(c.Prompt) + previous.Tokens
+		c.initialTokens = previous.coveredTokens()
 	}
 	if resumed {
 		k.counts.Resumes++
-		k.counts.Recomputed += max(0, inferrer.Tokens(c.Prompt)+c.Tokens-c.initialTokens)
+		k.counts.Recomputed += max(0, c.coveredTokens()-c.initialTokens)
+		k.record(TransferResume, id, c.initialTokens, c.coveredTokens())
 	}
 	k.putCache(id, c)
 }
