Repair a restored store though it has passed the revision at which it is watched

Cause: a watcher noticed a store that was restored from older data only by a page revision below that of its watch, and a watch without a change is answered after 1 s. Where the store has lost few writes, others bring it past that revision within the second: one duty that changes hands beside load is enough after one publish. The next look was the full read after 30 watches. So the repair depended neither on the processor nor on a retry interval.

Watchers now check the store after two watches without a change, or at once if the revision has fallen: 2 s, and 2 s at most for the write, in the 4 s in which a configuration is to be in force. They read a digest, which a watcher writes once it has read the release in force from the store, and which a restored store holds in an older state. The release itself is read if the digest differs, and at each 15th check as before. Reading the release each time would cost a watcher 15 KB/s at 30 KB of configuration, of 26 KB/s in all.

--- a/internal/control/publisher/publisher_test.go
+++ b/internal/control/publisher/publisher_test.go
@@ -21,7 +21,9 @@
 	k := keeper.New()
 	s := httptest.NewServer(k.Handler())
 	t.Cleanup(s.Close)
-	return k, storer.NewClient(storer.ClientConfig{Address: s.Listener.Addr().String(), CallTimeout: 500 * time.Millisecond})
+	return k, storer.NewClient(storer.ClientConfig{
+		Address: s.Listener.Addr().String(), CallTimeout: 500 * time.Millisecond, WatchWait: 200 * time.Millisecond,
+	})
 }
 
 // configText returns a valid configuration whose text differs for each n.
--- a/internal/control/publisher/watcher.go
+++ b/internal/control/publisher/watcher.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -18,10 +20,19 @@
 	watchRetryDelay = 200 * time.Millisecond
 	// roleCheckPeriod is the time between two checks whether this daemon is to watch the store.
 	roleCheckPeriod = 200 * time.Millisecond
-	// watchesPerFullRead is the number of watch calls after which the configuration is read in
-	// full. This detects a store that was restored from older data and has since passed the
-	// revision at which the watch stands.
-	watchesPerFullRead = 30
+	// watchesPerCheck is the number of watches without a change after which the stored release is
+	// checked. With watches of 1 s and a write of 2 s at most, a store that was restored from older
+	// data is repaired within the 4 s in which a configuration is to be in force.
+	watchesPerCheck = 2
+	// checksPerFullRead is the number of checks after which the release is read though its digest is
+	// that of the release in force.
+	checksPerFullRead = 15
+	// checkTimeout limits each read of a check, and is short since the daemon does not watch then.
+	checkTimeout = 500 * time.Millisecond
+	// digestKey is the key of the digest of the stored release. Watchers write it once they have
+	// read the release in force from the store, and a restored store holds an older one. So a check
+	// costs few bytes, whatever the size of the configuration.
+	digestKey = "config/digest"
 )
 
 // Caller is the part of a messenger that a watcher uses.
@@ -66,10 +77,11 @@
 	cfg          WatcherConfig
 	peersChanged chan struct{}
 	// lastPulled is the release that was last pulled from a peer; only PullFromPeers uses it.
-	// behindDigest is the digest of the outdated release last found in the store; only WatchStore
-	// uses it.
+	// behindDigest is the digest of the outdated release last found in the store, and checks counts
+	// the checks of the stored release; only WatchStore uses them.
 	lastPulled   Release
 	behindDigest uint64
+	checks       int
 }
 
 // releaseEncoding encodes times in full precision, since the order of releases depends on them.
@@ -97,51 +109,110 @@
 // WatchStore watches the store until ctx ends, whenever IsStoreWatcher returns true.
 func (w *Watcher) WatchStore(ctx context.Context) error {
 	var from uint64
-	for n := 0; ctx.Err() == nil; n++ {
+	unchanged := 0
+	for ctx.Err() == nil {
 		if !w.cfg.IsStoreWatcher() {
 			from = 0
 			sleep(ctx, roleCheckPeriod)
 			continue
 		}
-		if n%watchesPerFullRead == 0 {
-			from = 0
-		}
 		page, err := w.cfg.Store.Watch(ctx, ConfigKey, from)
 		if err != nil {
 			meter.AddToCounter(w.cfg.Registry, 1, "config_watch_failures_total")
 			sleep(ctx, watchRetryDelay)
 			continue
 		}
+		for _, e := range page.Entries {
+			w.handleEntry(ctx, e)
+		}
+		unchanged++
+		if len(page.Entries) > 0 {
+			unchanged = 0
+		}
 		if page.Revision < from {
-			// The store was restored from older data: read the configuration in full.
-			page.Revision = 0
+			// The store was restored from older data.
+			unchanged = watchesPerCheck
 		}
-		if from == 0 && len(page.Entries) == 0 && w.cfg.Current().Generation > 0 {
-			w.repairStore(ctx, storer.Entry{}, Release{})
+		if unchanged >= watchesPerCheck && w.checkStored(ctx) {
+			unchanged = 0
 		}
 		from = page.Revision
-		for _, e := range page.Entries {
-			w.handleEntry(ctx, e)
-		}
 	}
 	return nil
 }
 
-func (w *Watcher) handleEntry(ctx context.Context, e storer.Entry) {
-	if e.Deleted {
+// checkStored checks that the store holds the release in force, and reports whether the store
+// answered. A store that was restored from older data shows no change to a watch, and its revision
+// tells nothing once other writes have brought it to that of the watch.
+func (w *Watcher) checkStored(ctx context.Context) bool {
+	digest, err := w.read(ctx, digestKey)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return false
+	}
+	w.checks++
+	if string(digest.Value) == encodeDigest(w.cfg.Current()) && w.checks%checksPerFullRead != 0 {
+		return true
+	}
+	e, err := w.read(ctx, ConfigKey)
+	switch {
+	case errors.Is(err, storer.ErrNotFound):
 		w.repairStore(ctx, storer.Entry{}, Release{})
+	case err != nil:
+		return false
+	case w.handleEntry(ctx, e):
+		w.writeDigest(ctx, digest)
+	}
+	return true
+}
+
+func (w *Watcher) read(ctx context.Context, key string) (storer.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	e, err := w.cfg.Store.Get(ctx, key)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		meter.AddToCounter(w.cfg.Registry, 1, "config_watch_failures_total")
+	}
+	return e, err
+}
+
+// writeDigest writes the digest of the release in force over an older one. If another watcher was
+// first, the write conflicts and the next check finds the digest.
+func (w *Watcher) writeDigest(ctx context.Context, old storer.Entry) {
+	want := encodeDigest(w.cfg.Current())
+	if string(old.Value) == want {
 		return
 	}
+	var conflict *storer.ConflictError
+	_, err := w.cfg.Store.Swap(ctx, storer.Write{Key: digestKey, Value: []byte(want), Expect: old.Revision})
+	if err != nil && !errors.As(err, &conflict) {
+		meter.AddToCounter(w.cfg.Registry, 1, "config_watch_failures_total")
+	}
+}
+
+// encodeDigest returns the value of digestKey for a release.
+func encodeDigest(r Release) string { return fmt.Sprintf("%d %x", r.Generation, r.Digest()) }
+
+// handleEntry offers a newer release to this daemon, and repairs a store that holds an older one. It
+// reports whether the entry holds the release in force.
+func (w *Watcher) handleEntry(ctx context.Context, e storer.Entry) bool {
+	if e.Deleted {
+		w.repairStore(ctx, storer.Entry{}, Release{})
+		return false
+	}
 	r, err := Decode(e)
 	if err != nil {
 		meter.AddToCounter(w.cfg.Registry, 1, "config_malformed_total")
-		return
+		return false
 	}
-	if w.cfg.Current().IsNewer(r) {
+	switch current := w.cfg.Current(); {
+	case current.IsNewer(r):
 		w.repairStore(ctx, e, r)
-		return
+		return false
+	case r.IsNewer(current):
+		w.cfg.OfferRelease(r)
+		return false
 	}
-	w.cfg.OfferRelease(r)
+	return true
 }
 
 // repairStore writes the release in force back to a store that holds an older one or none. The
--- a/internal/daemon/verifier/config_faults_test.go
+++ b/internal/daemon/verifier/config_faults_test.go
@@ -31,6 +31,7 @@
 		{"daemon restarted during an outage", testRestartDuringOutage},
 		{"failure domain cut off and rejoined", testConfigAfterPartition},
 		{"store back with older data", testStoreRestored},
+		{"store back with older data and written since", testStoreRestoredAndWritten},
 		{"store back with nothing", testStoreEmptied},
 		{"one generation published twice", testDuplicateGeneration},
 		{"read-back names a daemon that lags", testLaggingDaemonReported},
@@ -175,6 +176,21 @@
 	w.awaitInForce(propagationLimit, generation, w.daemons...)
 }
 
+// testStoreRestoredAndWritten restores the store to older data and writes other keys at once, until
+// the store has passed the revisions at which the daemons watch. These no longer show the restore.
+func testStoreRestoredAndWritten(t *testing.T, w *proxiedCluster) {
+	mustRequest(t, "POST", "http://"+w.platformAddress+"/save", nil, nil)
+	generation := w.publishNext(w.daemons[0], numberedConfig(53))
+	w.awaitInForce(propagationLimit, generation, w.daemons...)
+	passed := w.writeToStore(t, 0)
+	mustRequest(t, "POST", "http://"+w.platformAddress+"/restore", nil, nil)
+	w.writeToStore(t, passed)
+	eventually(t, propagationLimit, "the store holds the configuration in force again", func() bool {
+		return storedRelease(t, w).Generation == generation
+	})
+	w.awaitInForce(time.Second, generation, w.daemons...)
+}
+
 func testStoreEmptied(t *testing.T, w *proxiedCluster) {
 	generation := w.newestGeneration(t)
 	mustRequest(t, "POST", "http://"+w.platformAddress+"/clear", nil, nil)
--- a/internal/daemon/verifier/config_store_test.go
+++ b/internal/daemon/verifier/config_store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"testing"
 	"time"
 
@@ -41,3 +42,23 @@
 		t.Fatal(err)
 	}
 }
+
+// writeToStore writes a key that no daemon uses, at least once and until the store's revision is
+// above the given one, and returns the revision.
+func (w *proxiedCluster) writeToStore(t testing.TB, above uint64) uint64 {
+	t.Helper()
+	c := storer.NewClient(storer.ClientConfig{Address: w.platformAddress})
+	const key = "verifier/unused"
+	e, err := c.Get(t.Context(), key)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		t.Fatal(err)
+	}
+	for {
+		if e, err = c.Swap(t.Context(), storer.Write{Key: key, Value: []byte("1"), Expect: e.Revision}); err != nil {
+			t.Fatal(err)
+		}
+		if e.Revision > above {
+			return e.Revision
+		}
+	}
+}
