Restore the store before daemons outside reach it in a step of TestConfigurationFaults

Seen in 1 of 5 plays beside eight busy processes (load 33 to 38): "condition not met within 977ms: generation 2009 at entry-6" in the step "one generation published twice". entry-6, outside the isolated domain, had 2010 in force, the release that the store was to lose: the test reconnected the daemons outside to the store before it restored the store, and one read the release in between.

All store links are cut now until the store is restored; the checks stay.

--- a/internal/daemon/verifier/config_faults_test.go
+++ b/internal/daemon/verifier/config_faults_test.go
@@ -215,8 +215,10 @@
 		t.Fatalf("publish: %v\n%s", err, lost)
 	}
 	w.awaitInForce(propagationLimit, from+1, inside...)
-	outside := w.cutStoreLinks(func(d *daemon) bool { return d.domain == domain })
+	// No daemon reaches the store until it is restored: one outside would read the lost release.
+	w.cutStoreLinks(func(*daemon) bool { return true })
 	mustRequest(t, "POST", "http://"+w.platformAddress+"/restore", nil, nil)
+	outside := w.cutStoreLinks(func(d *daemon) bool { return d.domain == domain })
 	w.awaitInForce(time.Second, from, outside...)
 	if kept, err := w.tryPublish(outside[0], numberedConfig(71), from); err != nil {
 		t.Fatalf("publish: %v\n%s", err, kept)
