Log which endpoints are suspected, and what a daemon sees when a request of a move test fails

TestMoveRevertsOnLateFault failed once in six plays beside eight busy processes with two requests refused as not run, and nothing showed which endpoints the daemon had. The daemon now logs when an endpoint becomes suspected and when it is alive again, and the test logs the time and the endpoints of a failed request.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -67,6 +67,8 @@
 	reports          map[string]endpointReport
 	members          []viewer.Member
 	leavingEndpoints map[string]bool
+	// suspected holds the endpoints that were suspected in the last view.
+	suspected map[string]bool
 }
 
 // endpointReport is the latest load report of an endpoint, with the number of failed reports
@@ -80,7 +82,7 @@
 func New(cfg Config) *Controller {
 	return &Controller{
 		cfg: cfg, events: make(chan event, eventQueueSize),
-		reports: make(map[string]endpointReport), leavingEndpoints: make(map[string]bool),
+		reports: make(map[string]endpointReport), leavingEndpoints: make(map[string]bool), suspected: make(map[string]bool),
 	}
 }
 
@@ -240,9 +242,11 @@
 }
 
 func (c *Controller) publishView() {
+	endpoints := c.buildEndpoints()
+	c.logSuspicions(endpoints)
 	v := viewer.View{}.
 		WithConfig(c.release.Generation, c.set).
-		WithEndpoints(c.buildEndpoints()).
+		WithEndpoints(endpoints).
 		WithMembers(c.members).
 		WithEntryPeers(c.entryAddresses())
 	if c.cfg.MoveShares != nil {
@@ -251,6 +255,26 @@
 	c.cfg.CurrentView.Store(v)
 }
 
+// logSuspicions logs each endpoint that gets no more requests because its load reports fail, and
+// each one that gets requests again.
+func (c *Controller) logSuspicions(endpoints []viewer.Endpoint) {
+	suspected := make(map[string]bool)
+	for _, e := range endpoints {
+		isSuspected := e.State == viewer.StateSuspected
+		switch {
+		case isSuspected && !c.suspected[e.Name]:
+			r := c.reports[e.Name]
+			c.log("msg", "endpoint suspected", "endpoint", e.Name, "failed_reports", r.failedReports, "last", r.At, "err", r.Err)
+		case c.suspected[e.Name] && e.State == viewer.StateAlive:
+			c.log("msg", "endpoint alive again", "endpoint", e.Name)
+		}
+		if isSuspected {
+			suspected[e.Name] = true
+		}
+	}
+	c.suspected = suspected
+}
+
 // entryAddresses returns the addresses of live entry hosts, by which a daemon can reach daemons
 // that gossip has not announced yet.
 func (c *Controller) entryAddresses() []string {
--- a/internal/daemon/verifier/move_test.go
+++ b/internal/daemon/verifier/move_test.go
@@ -136,7 +136,9 @@
 	status, b, err := tryRequest(http.MethodPost, "http://"+d.callerAddress+inferrer.PathChat, []byte(body), nil)
 	if err != nil || status != http.StatusOK {
 		m.failedRequests.Add(1)
-		m.t.Logf("request at %s: %v, status %d: %s", d.name, err, status, b)
+		m.t.Logf("%s request at %s: %v, status %d: %s", time.Now().UTC().Format(time.StampMicro), d.name, err, status, b)
+		_, view, err := tryRequest(http.MethodGet, "http://"+d.operatorAddress+"/endpoints", nil, nil)
+		m.t.Logf("%s endpoints at %s: %v, %s", time.Now().UTC().Format(time.StampMicro), d.name, err, view)
 	}
 }
 
