Lose answers in tests only to the writes that are meant

In 1 of 7 plays beside eight busy processes (load 57 to 81) TestConfigurationFaults failed in the step "store down": "condition not met within 3.999999098s: generation 5 at entry-0". The store was to lose the answer to the publish and go down, but lost that to whichever write came next, which can be a duty's or, since the digest of the release is written, a watcher's; the publish was never made.

A lost answer can be limited to keys below a prefix now. The steps of this test name the configuration, those of TestOrderServiceFaults the orders: there another write would have let the test pass without a lost answer.

--- a/internal/daemon/verifier/config_faults_test.go
+++ b/internal/daemon/verifier/config_faults_test.go
@@ -73,7 +73,7 @@
 }
 
 func testLostStoreAnswer(_ *testing.T, w *proxiedCluster) {
-	w.setPlatformFaults(keeper.Faults{LoseAnswers: 1})
+	w.setPlatformFaults(keeper.Faults{LoseAnswers: 1, LosePrefix: publisher.ConfigKey})
 	w.awaitInForce(propagationLimit, w.publishNext(w.daemons[2], numberedConfig(20)), w.daemons...)
 }
 
@@ -90,7 +90,7 @@
 	w.awaitInForce(propagationLimit, before, w.daemons...)
 
 	// The store accepts the write, but goes down before a daemon can read it back.
-	w.setPlatformFaults(keeper.Faults{LoseAnswers: 1, DownAfterLoss: true})
+	w.setPlatformFaults(keeper.Faults{LoseAnswers: 1, LosePrefix: publisher.ConfigKey, DownAfterLoss: true})
 	out, err := w.tryPublish(w.daemons[0], numberedConfig(32), before)
 	if err == nil || !strings.Contains(out, "not settled") {
 		t.Errorf("got %q (%v), want that the publish is not settled", out, err)
--- a/internal/daemon/verifier/orders_link_test.go
+++ b/internal/daemon/verifier/orders_link_test.go
@@ -47,8 +47,8 @@
 		{"reset in the header", reset(30), keeper.Faults{}, recorder.StateUnknown, recorder.StateUnknown, 0},
 		{"cut before the answer", truncate(0), keeper.Faults{}, recorder.StateDone, recorder.StateUnknown, 1},
 		{"cut in the answer's header", truncate(20), keeper.Faults{}, recorder.StateDone, recorder.StateUnknown, 1},
-		{"store answer lost", faulter.Behaviour{Mode: faulter.ModePass}, keeper.Faults{LoseAnswers: 1}, recorder.StateDone, recorder.StateDone, 1},
-		{"store answers lost", faulter.Behaviour{Mode: faulter.ModePass}, keeper.Faults{LoseAnswers: 2}, recorder.StateDone, recorder.StateDone, 1},
+		{"store answer lost", faulter.Behaviour{Mode: faulter.ModePass}, keeper.Faults{LoseAnswers: 1, LosePrefix: "order"}, recorder.StateDone, recorder.StateDone, 1},
+		{"store answers lost", faulter.Behaviour{Mode: faulter.ModePass}, keeper.Faults{LoseAnswers: 2, LosePrefix: "order"}, recorder.StateDone, recorder.StateDone, 1},
 	} {
 		for route, want := range map[string]recorder.State{"desk": tc.withLookup, "ledger": tc.withoutLookup} {
 			t.Run(tc.name+", "+route, func(t *testing.T) {
--- a/internal/standin/keeper/handler.go
+++ b/internal/standin/keeper/handler.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -75,7 +76,7 @@
 		return
 	}
 	e, outcome := k.swap(wr)
-	if outcome == swapApplied && k.consumeAnswerLoss() {
+	if outcome == swapApplied && k.consumeAnswerLoss(wr.Key) {
 		panic(http.ErrAbortHandler)
 	}
 	switch outcome {
@@ -88,11 +89,11 @@
 	}
 }
 
-// consumeAnswerLoss reports whether the answer to a write must be lost, and counts it.
-func (k *Keeper) consumeAnswerLoss() bool {
+// consumeAnswerLoss reports whether the answer to a write of a key must be lost, and counts it.
+func (k *Keeper) consumeAnswerLoss(key string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.faults.LoseAnswers == 0 {
+	if k.faults.LoseAnswers == 0 || !strings.HasPrefix(key, k.faults.LosePrefix) {
 		return false
 	}
 	k.faults.LoseAnswers--
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -48,6 +48,8 @@
 	// LoseAnswers is the number of next writes that take effect and whose connection is
 	// closed without an answer.
 	LoseAnswers int `json:"lose_answers"`
+	// LosePrefix limits LoseAnswers to writes of keys below a prefix; empty is all keys.
+	LosePrefix string `json:"lose_prefix"`
 	// DownAfterLoss sets Down as soon as an answer is lost.
 	DownAfterLoss bool `json:"down_after_loss"`
 	// Delay delays each call.
