Try engines whose load reports are late before a request is refused for want of any

In 1 of 6 plays of TestMoveRevertsOnLateFault beside eight busy processes (load 44) two requests were refused: 503, not-run, "no endpoint could answer", though all engines served before and after. That play left no trace of the engines.

Cause of such refusals, made on purpose: with the engines' process stopped for 2.3 s four load reports of all engines fail in a row at every daemon, and until the next one, 20 to 300 ms later, each daemon has no engine: 7 requests were refused like this in 1 of 4 plays. Without the stop the same was logged in plays at load 64 to 90: all three engines suspected at all daemons at the same time and alive 0.2 to 1.9 s later. Reports that fail for all engines at once tell more about the machine than about the engines.

A request for which no engine is alive now goes to one that is suspected and whose last report is less than 5 s old, the time in which a suspected member may refute; an engine that refuses the connection costs one round more, as before it was suspected. Another version of the route that has a live engine still goes first, and so does a live engine.

--- a/internal/fleet/viewer/viewer.go
+++ b/internal/fleet/viewer/viewer.go
@@ -25,6 +25,10 @@
 	StateGone      State = "gone"
 )
 
+// SuspicionTime is the time since its last load report in which a suspected endpoint may yet turn out
+// to run: 2 s until it is suspected and 3 s to refute that, as for members.
+const SuspicionTime = 5 * time.Second
+
 // Member is one daemon of the fleet. Peers and Operators are its addresses for
 // other daemons and for operators.
 type Member struct {
@@ -66,6 +70,13 @@
 	return e.State == StateAlive && slices.Contains(e.Versions, version)
 }
 
+// MayServe is like CanServe, but also includes an endpoint that is suspected and whose last load
+// report is younger than SuspicionTime: it may run, and its reports be late.
+func (e Endpoint) MayServe(version string, now time.Time) bool {
+	isDoubtful := e.State == StateSuspected && now.Sub(e.Reported) < SuspicionTime
+	return (e.State == StateAlive || isDoubtful) && slices.Contains(e.Versions, version)
+}
+
 // WithState returns a copy of the endpoint with another state.
 func (e Endpoint) WithState(s State) Endpoint {
 	e.State = s
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -253,6 +253,11 @@
 			p.version = next
 			continue
 		}
+		// All engines can be suspected at once because their reports are late, so a refusal is worse
+		// than a try.
+		if c, err := r.pickSuspectedEngine(job, p.version, p.excluded); err == nil {
+			return c, nil
+		}
 		p.rounds++
 		if p.hasBegun() && p.timeSinceFailure() >= r.cfg.ResumeTimeout || !p.hasBegun() && (len(p.excluded) == 0 || p.rounds >= maxRounds) {
 			return c, err
@@ -267,11 +272,18 @@
 // pickEngine picks an engine that is not in exclude. It picks an ejected engine only if
 // there is no other.
 func (r *Relayer) pickEngine(job Job, version string, exclude map[string]bool) (router.Choice, error) {
+	return r.pick(router.Query{Version: version, Exclude: exclude}, job)
+}
+
+// pickSuspectedEngine is like pickEngine, and includes engines that are suspected and may
+// yet run.
+func (r *Relayer) pickSuspectedEngine(job Job, version string, exclude map[string]bool) (router.Choice, error) {
+	return r.pick(router.Query{Version: version, Exclude: exclude, IncludeSuspected: true}, job)
+}
+
+func (r *Relayer) pick(q router.Query, job Job) (router.Choice, error) {
 	view := r.cfg.View()
-	q := router.Query{
-		Request: job.Request, Route: job.Route, Version: version,
-		Prompt: job.Prompt.Text(), Domain: r.cfg.Domain,
-	}
+	q.Request, q.Route, q.Prompt, q.Domain = job.Request, job.Route, job.Prompt.Text(), r.cfg.Domain
 	if q.Version == "" {
 		v, err := router.PickVersion(view.VersionShares(job.Route), job.Request)
 		if err != nil {
@@ -279,6 +291,7 @@
 		}
 		q.Version = v
 	}
+	exclude := q.Exclude
 	q.Exclude = r.outlierDetector.withEjected(time.Now(), q.Version, exclude)
 	c, err := r.cfg.Router.Choose(view, q)
 	if errors.Is(err, router.ErrNoEndpoint) && len(q.Exclude) > len(exclude) {
--- a/internal/traffic/router/router.go
+++ b/internal/traffic/router/router.go
@@ -37,6 +37,8 @@
 	Domain string
 	// Exclude holds the names of endpoints that the request must not use, since they failed it.
 	Exclude map[string]bool
+	// IncludeSuspected includes endpoints that are suspected and may yet run.
+	IncludeSuspected bool
 
 	// blockHashes are the hashes of the full cache blocks of the prompt.
 	blockHashes []uint64
@@ -146,7 +148,8 @@
 	mean := r.tokenRates.mean()
 	r.candidateBuffer = r.candidateBuffer[:0]
 	for _, e := range v.Endpoints {
-		if !e.CanServe(q.Version) || q.Exclude[e.Name] {
+		canServe := e.CanServe(q.Version) || q.IncludeSuspected && e.MayServe(q.Version, now)
+		if !canServe || q.Exclude[e.Name] {
 			continue
 		}
 		own := r.ownLoads[e.Name]
