Ask all daemons at the same time whether a configuration is in force

At load 66 to 102 TestConfigurationFaults failed in the step "store down": "condition not met within -48.164577ms: generation 3 at entry-5". The daemons were asked one after the other within one limit, here of 1 s for what has been in force all along, and the others' answers had used it up before entry-5 was asked at all.

Each daemon is asked from the start and has the whole limit, which stays.

--- a/internal/daemon/verifier/membership_links_test.go
+++ b/internal/daemon/verifier/membership_links_test.go
@@ -1,11 +1,14 @@
 package verifier
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -155,15 +158,51 @@
 
 func (d *daemon) generation(t testing.TB) uint64 { return d.findMember(t, d.name).Generation }
 
-// awaitInForce waits until a generation is in force at each of the given daemons.
+// awaitInForce waits until a generation is in force at each of the given daemons. It asks all at the
+// same time, so that one that answers slowly takes no time from the others.
 func (w *proxiedCluster) awaitInForce(limit time.Duration, generation uint64, at ...*daemon) {
 	w.t.Helper()
-	end := time.Now().Add(limit)
-	for _, d := range at {
-		eventually(w.t, time.Until(end), fmt.Sprintf("generation %d at %s", generation, d.name), func() bool {
-			return d.generation(w.t) == generation
-		})
+	late := make([]string, len(at))
+	var g sync.WaitGroup
+	for i, d := range at {
+		g.Go(func() { late[i] = d.pollGeneration(time.Now().Add(limit), generation) })
+	}
+	g.Wait()
+	var failures []string
+	for i, d := range at {
+		if late[i] != "" {
+			failures = append(failures, d.name+" "+late[i])
+		}
+	}
+	if len(failures) > 0 {
+		w.t.Fatalf("generation %d not in force within %s: %s", generation, limit, strings.Join(failures, ", "))
+	}
+}
+
+// pollGeneration polls a daemon until it has a generation in force. At end it returns what the daemon
+// answered last.
+func (d *daemon) pollGeneration(end time.Time, generation uint64) string {
+	last := "not asked"
+	for ; time.Now().Before(end); time.Sleep(pollPeriod) {
+		var members []viewer.Member
+		_, b, err := tryRequest(http.MethodGet, "http://"+d.operatorAddress+"/members", nil, nil)
+		if err == nil {
+			err = json.Unmarshal(b, &members)
+		}
+		if err != nil {
+			last = err.Error()
+			continue
+		}
+		for _, m := range members {
+			if m.Name != d.name {
+				continue
+			}
+			if last = fmt.Sprint("has generation ", m.Generation); m.Generation == generation {
+				return ""
+			}
+		}
 	}
+	return last
 }
 
 // numberedConfig returns testConfig with a comment line that makes its text unique.
