Import a cache over a pooled connection

The transfer of a cache opened a connection for the import too, after the cache was exported. The old stream goes on meanwhile, and each token of that time is computed again. Only the export needs a connection of its own: the answer to an import holds nothing that joins an answer.

--- a/internal/traffic/relayer/migrate.go
+++ b/internal/traffic/relayer/migrate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"pomelotiller/internal/fleet/viewer"
@@ -114,21 +115,21 @@
 }
 
 // transferCache streams the cache of a request from one engine to another, without
-// buffering the whole cache in memory.
+// buffering the whole cache in memory. It exports over a new connection: on a pooled one, a
+// late answer to an earlier call may come in place of the cache, which does not name its
+// request.
 func (r *Relayer) transferCache(ctx context.Context, request string, from, to viewer.Endpoint) error {
-	cache, err := r.engineClient(from).Export(ctx, request)
+	cache, err := newEngineClient(from, r.cfg.FreshHTTP).Export(ctx, request)
 	if err != nil {
 		return fmt.Errorf("export cache of %q from %s: %w", request, from.Name, err)
 	}
 	defer cache.Close()
-	if err := r.engineClient(to).Import(ctx, request, cache); err != nil {
+	if err := newEngineClient(to, r.cfg.HTTP).Import(ctx, request, cache); err != nil {
 		return fmt.Errorf("import cache of %q at %s: %w", request, to.Name, err)
 	}
 	return nil
 }
 
-// engineClient returns a client that opens a connection for each call: on a pooled one, a late
-// answer to an earlier call may come in place of the cache, which does not name its request.
-func (r *Relayer) engineClient(e viewer.Endpoint) inferrer.Engine {
-	return inferrer.NewClient(inferrer.ClientConfig{Address: e.Address, HTTP: r.cfg.FreshHTTP})
+func newEngineClient(e viewer.Endpoint, client *http.Client) inferrer.Engine {
+	return inferrer.NewClient(inferrer.ClientConfig{Address: e.Address, HTTP: client})
 }
