Pass news of crashes on in full, not as heartbeats

In a fleet of 195 daemons the others learned of a crash 4.4 s after it on average, the last after 5.0 s; at 65 daemons after 1.5 to 1.8 s. Until then they send on requests with the part that crashed the engine (BUDGET: from the shortest time in touch, 3 s).

Cause: a hub replaces a status that repeats the one before by a heartbeat, and what a status says of crashes was not compared. So it went out with each fourth status only.

Statuses are compared by their crashes, in any order, and the number of quarantines. What blocks are cleared changes with nearly every status and may still come later.

--- a/internal/fleet/sharer/status.go
+++ b/internal/fleet/sharer/status.go
@@ -1,5 +1,7 @@
 package sharer
 
+import "slices"
+
 // Status is the state that each daemon sends to all others several times a second. Totals count
 // from the start of the daemon's process.
 type Status struct {
@@ -145,6 +147,23 @@
 	return len(s.Crashes) == 0 && len(s.Cleared) == 0 && len(s.Quarantines) == 0
 }
 
+// hasSameCrashes reports whether both hold the same crashes, in any order, and as many quarantines.
+func (s Suspicions) hasSameCrashes(other Suspicions) bool {
+	if len(s.Crashes) != len(other.Crashes) || len(s.Quarantines) != len(other.Quarantines) {
+		return false
+	}
+	type key struct {
+		endpoint string
+		born     int64
+		requests int
+	}
+	known := make(map[key]bool, len(s.Crashes))
+	for _, c := range s.Crashes {
+		known[key{c.Endpoint, c.Born, len(c.Requests)}] = true
+	}
+	return !slices.ContainsFunc(other.Crashes, func(c Crash) bool { return !known[key{c.Endpoint, c.Born, len(c.Requests)}] })
+}
+
 // Crash is the crash of an endpoint, with the requests of one daemon that broke off.
 type Crash struct {
 	Endpoint string          `cbor:"1,keyasint"`
