Start no stream again after an event without an id

Callers got events twice: a resumable stream whose events have no ids broke off, the next endpoint was asked without the id of a last event, sent the stream from its first event on, and the stream ended as complete.

Cause: the order of events was checked by their ids only, and a request was passed on again whether or not an endpoint could be told after which event to go on.

Without the fix TestStreamWithoutIDsIsNotStartedAgain prints "data: a\n\ndata: a\n\ndata: b\n\n" (no error). With it the carrier knows that the caller has data after the last id, or without any, and breaks the stream.

--- a/internal/traffic/carrier/order.go
+++ b/internal/traffic/carrier/order.go
@@ -17,6 +17,8 @@
 type eventOrder struct {
 	// lastID is the id of the last event with an id; empty if there is none.
 	lastID string
+	// unnamed says that the caller has an event with data after the one with lastID, or without any id.
+	unnamed bool
 	// steps counts the events whose number was the next one, and jumps those that left numbers out.
 	steps, jumps int
 }
@@ -63,6 +65,7 @@
 		if joins && hasData {
 			return fmt.Errorf("%w: one without an id after %q", errEventOrder, o.lastID)
 		}
+		o.unnamed = o.unnamed || hasData
 		return nil
 	}
 	next, isNumber := number(id)
@@ -77,7 +80,7 @@
 	case o.lastID != "":
 		o.jumps++
 	}
-	o.lastID = id
+	o.lastID, o.unnamed = id, false
 	return nil
 }
 
--- a/internal/traffic/carrier/serve.go
+++ b/internal/traffic/carrier/serve.go
@@ -146,6 +146,10 @@
 	if q.runState != refuser.NotRun && !q.route.IsRepeatable() {
 		return false
 	}
+	if q.events.order.unnamed {
+		// No endpoint can be told to go on after an event that has no id.
+		return false
+	}
 	if !a.maybeSent {
 		// No byte reached the endpoint, so the attempt does not count.
 		q.attempts--
