Take a stream that begins with a byte order mark

Callers got 502 for a stream that begins with a byte order mark, which the standard allows: the mark counted as part of the name of the first field, which is no word.

Without the fix TestStreamMayBeginWithAByteOrderMark gets status 502. isEvent now leaves the mark out. The id of a first event behind a mark is not read, so an event that joins a stream behind one is still rejected.

--- a/internal/traffic/carrier/event.go
+++ b/internal/traffic/carrier/event.go
@@ -53,9 +53,13 @@
 	return false
 }
 
+// byteOrderMark may stand before the first event of a stream.
+var byteOrderMark = []byte("\ufeff")
+
 // isEvent reports whether the lines of an event are fields or comments. The names of fields are words; a
 // line that is a name alone is a field without a value.
 func isEvent(event []byte) bool {
+	event = bytes.TrimPrefix(event, byteOrderMark)
 	for line := range bytes.Lines(event) {
 		name, _, hasValue := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
 		if bytes.IndexFunc(name, isNotWord) >= 0 || !hasValue && !isStandardField(string(name)) {
