Follow no redirect of the store or the cloud

A call that the store or the cloud answered with 307 was sent again, body and fencing token included, to the address in the answer, and what that address said was taken as their answer.

Cause: the HTTP client follows redirects unless it is told not to, as the client of engines is.

Without the fix TestRedirectIsNotFollowed prints "got POST /x sent to another address" and status 200. A redirect is now a status like any other that the callers of this package do not expect.

--- a/internal/remote/requester/requester.go
+++ b/internal/remote/requester/requester.go
@@ -40,7 +40,11 @@
 		cfg.Timeout = defaultTimeout
 	}
 	t := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout}
-	return &Client{cfg: cfg, http: &http.Client{Transport: t}}
+	return &Client{cfg: cfg, http: &http.Client{
+		Transport: t,
+		// A redirect would send a call again, to an address that the settings do not name.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
 // Answer is a complete HTTP response of a service.
