Share the classes of times and the filter of repeated breaks

roller and mover each dropped the repeated breaks of one endpoint within a second, in a few like lines; both now use assessor.Breaks. The classes of times and their median, by which roller finds slow releases, move from roller to assessor, for mover to use as well. No change of behaviour: the tests of roller, mover and assessor hold unchanged.

--- a/internal/control/assessor/assessor.go
+++ b/internal/control/assessor/assessor.go
@@ -1,5 +1,5 @@
-// Package assessor compares fault rates by sequential tests: the bounds of a rate hold at all sample
-// sizes at once, so that a test may be repeated after each request.
+// Package assessor compares fault rates and answer times by sequential tests: the bounds of a rate hold at
+// all sample sizes at once, so that a test may be repeated after each request.
 package assessor
 
 import "math"
@@ -9,6 +9,12 @@
 	Faults, Requests uint64
 }
 
+// NewRate returns a rate from counts, which reports of different moments may leave inconsistent.
+func NewRate(faults, requests int) Rate {
+	faults, requests = max(faults, 0), max(requests, 0)
+	return Rate{Faults: uint64(min(faults, requests)), Requests: uint64(requests)}
+}
+
 // Fraction returns the observed fraction of faults, or 0 without requests.
 func (r Rate) Fraction() float64 {
 	if r.Requests == 0 {
--- a/internal/control/mover/follower.go
+++ b/internal/control/mover/follower.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pomelotiller/internal/config/loader"
+	"pomelotiller/internal/control/assessor"
 	"pomelotiller/internal/fleet/gossiper"
 	"pomelotiller/internal/fleet/ticker"
 	"pomelotiller/internal/fleet/viewer"
@@ -89,7 +90,7 @@
 	peerReports map[string]outcomeReport
 	lastReport  reportState
 	overdue     bool
-	lastBreaks  map[string]time.Time
+	breaks      assessor.Breaks
 }
 
 func (f *followedMove) isLatched() bool { return f.latch.Run > 0 && f.latch.Run >= f.record.Run }
@@ -149,7 +150,7 @@
 func (f *Follower) followedMove(name string) *followedMove {
 	m := f.moves[name]
 	if m == nil {
-		m = &followedMove{peerReports: make(map[string]outcomeReport), lastBreaks: make(map[string]time.Time)}
+		m = &followedMove{peerReports: make(map[string]outcomeReport), breaks: make(assessor.Breaks)}
 		f.moves[name] = m
 	}
 	return m
--- a/internal/control/mover/observer.go
+++ b/internal/control/mover/observer.go
@@ -27,9 +27,6 @@
 	// shortAnswerFraction is the fraction of the allowed tokens below which an answer counts as
 	// short.
 	shortAnswerFraction = 0.6
-	// breakDedupTime is how long further broken connections to one endpoint count as the same
-	// event, such as the failure of its host.
-	breakDedupTime = time.Second
 
 	defaultErrorLimit = 0.01
 	defaultSlowLimit  = 0.05
@@ -128,19 +125,14 @@
 	}
 }
 
-// isRepeatedBreak reports whether an outcome is a broken connection to an endpoint within
-// breakDedupTime of an earlier one, as when the endpoint fails.
+// isRepeatedBreak reports whether an outcome is a broken connection that counts as the same event as
+// an earlier one.
 func (f *followedMove) isRepeatedBreak(o relayer.Outcome, now time.Time) bool {
 	var status *inferrer.StatusError
 	if o.Err == nil || errors.As(o.Err, &status) || errors.Is(o.Err, inferrer.ErrForeignAnswer) {
 		return false
 	}
-	last, ok := f.lastBreaks[o.Endpoint]
-	if ok && now.Sub(last) < breakDedupTime {
-		return true
-	}
-	f.lastBreaks[o.Endpoint] = now
-	return false
+	return f.breaks.IsRepeated(o.Endpoint, now)
 }
 
 func classifyOutcome(o relayer.Outcome, target loader.Target) OutcomeCounts {
--- a/internal/control/roller/comparison.go
+++ b/internal/control/roller/comparison.go
@@ -20,11 +20,6 @@
 	badMargin  = 0.03
 	lateMargin = 0.1
 	slowMargin = 0.02
-	// The least and the greatest time over which answers are counted as slow, and the step between
-	// such times, in classes above that of the old release's median: 2.8 to 8 times the median.
-	minSlowClasses, maxSlowClasses, slowClassStep = 6, 12, 2
-	// minMedianAnswers is the least number of answers whose median is used.
-	minMedianAnswers = 10
 	// maxComparedRoutes is the number of routes that are compared singly, those with the most
 	// answers of the new release.
 	maxComparedRoutes = 8
@@ -123,56 +118,20 @@
 	if candidate.lateRate().ExceedsEstimate(baseline.lateRate(), lateMargin, alpha) {
 		return "more late answers than the old release"
 	}
-	median, ok := baseline.medianClass()
+	median, ok := baseline.times.MedianClass()
 	if !ok {
 		return ""
 	}
-	alpha /= (maxSlowClasses-minSlowClasses)/slowClassStep + 1
-	for above := minSlowClasses; above <= maxSlowClasses; above += slowClassStep {
-		if candidate.rateAbove(median+above).ExceedsEstimate(baseline.rateAbove(median+above), slowMargin, alpha) {
+	alpha /= assessor.SlowLevels
+	for level := range assessor.SlowLevels {
+		class := median + assessor.SlowClasses(level)
+		if candidate.times.RateAbove(class).ExceedsEstimate(baseline.times.RateAbove(class), slowMargin, alpha) {
 			return "more answers that take several times the old release's median time"
 		}
 	}
 	return ""
 }
 
-func (t answerCounts) badRate() assessor.Rate { return newRate(t.bad, t.good+t.bad) }
+func (t answerCounts) badRate() assessor.Rate { return assessor.NewRate(t.bad, t.good+t.bad) }
 
-func (t answerCounts) lateRate() assessor.Rate { return newRate(t.late, t.good) }
-
-// rateAbove returns the rate of times beyond a class.
-func (t answerCounts) rateAbove(class int) assessor.Rate {
-	above, all := 0, 0
-	for i, n := range t.times {
-		all += n
-		if i > class {
-			above += n
-		}
-	}
-	return newRate(above, all)
-}
-
-// newRate returns a rate from counts, which reports of different moments may leave inconsistent.
-func newRate(faults, requests int) assessor.Rate {
-	faults, requests = max(faults, 0), max(requests, 0)
-	return assessor.Rate{Faults: uint64(min(faults, requests)), Requests: uint64(requests)}
-}
-
-// medianClass returns the class of the median time, or false if there are too few times.
-func (t answerCounts) medianClass() (int, bool) {
-	all := 0
-	for _, n := range t.times {
-		all += n
-	}
-	if all < minMedianAnswers {
-		return 0, false
-	}
-	below := 0
-	for i, n := range t.times {
-		below += n
-		if 2*below >= all {
-			return i, true
-		}
-	}
-	return timeClasses - 1, true
-}
+func (t answerCounts) lateRate() assessor.Rate { return assessor.NewRate(t.late, t.good) }
--- a/internal/control/roller/counts.go
+++ b/internal/control/roller/counts.go
@@ -3,45 +3,26 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
-	"time"
 
+	"pomelotiller/internal/control/assessor"
 	"pomelotiller/internal/fleet/sharer"
 	"pomelotiller/internal/traffic/carrier"
 )
 
 const (
-	// timeClasses is the number of classes of times, classesPerOctave of them for each factor of 2.
-	// The first holds all times below 2 to the power of minTimeRatioLog2 of the predicted one, the
-	// last all longer ones.
-	timeClasses       = 48
-	classesPerOctave  = 4
-	minTimeRatioLog2  = -3
 	minUnansweredWait = 3 // in multiples of the predicted time
 	// maxCountedRoutes is the number of routes of a service that are counted singly; all others
 	// are counted together.
 	maxCountedRoutes = 16
-	// breakDedupTime is how long further broken answers of one endpoint count as the same event,
-	// such as the crash of the endpoint.
-	breakDedupTime = time.Second
 )
 
-// timeClass returns the class of a time relative to the predicted one.
-func timeClass(took, predicted time.Duration) int {
-	if took <= 0 || predicted <= 0 {
-		return 0
-	}
-	c := classesPerOctave * (math.Log2(float64(took)/float64(predicted)) - minTimeRatioLog2)
-	return min(max(int(math.Ceil(c)), 0), timeClasses-1)
-}
-
 // answerCounts holds the numbers of requests sent to one release and of its good, bad and late
 // answers. Late answers also count as good; they missed the route's latency target.
 type answerCounts struct {
 	sent, good, bad, late int
-	// times counts the answers, and the long waits without an answer, by timeClass.
-	times [timeClasses]int
+	// times counts the answers, and the long waits without an answer.
+	times assessor.Times
 }
 
 func (t *answerCounts) add(o answerCounts) {
@@ -84,7 +65,7 @@
 			return
 		}
 	}
-	t.times[timeClass(o.Took, o.Predicted)]++
+	t.times[assessor.TimeClass(o.Took, o.Predicted)]++
 }
 
 // countKey identifies the counts of one release of a service on one route.
--- a/internal/control/roller/evaluate.go
+++ b/internal/control/roller/evaluate.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"pomelotiller/internal/control/assessor"
 )
 
 // evaluateMove reverts a move whose new release is faulty. Of a move that has reached
@@ -77,11 +79,12 @@
 // and the number of other daemons whose counts they include.
 func (r *Roller) countFields(m *move) []any {
 	candidate, baseline := r.sumCounts(m).totals()
-	median, _ := baseline.medianClass()
+	median, _ := baseline.times.MedianClass()
+	slow := median + assessor.SlowClasses(0)
 	return []any{
-		"sent", candidate.sent, "good", candidate.good, "bad", candidate.bad, "late", candidate.late, "slow", candidate.rateAbove(median + minSlowClasses).Faults,
+		"sent", candidate.sent, "good", candidate.good, "bad", candidate.bad, "late", candidate.late, "slow", candidate.times.RateAbove(slow).Faults,
 		"old_sent", baseline.sent, "old_good", baseline.good, "old_bad", baseline.bad, "old_late", baseline.late,
-		"old_slow", baseline.rateAbove(median + minSlowClasses).Faults, "reports", len(r.peerCounts), "doubt", m.isInDoubt,
+		"old_slow", baseline.times.RateAbove(slow).Faults, "reports", len(r.peerCounts), "doubt", m.isInDoubt,
 	}
 }
 
--- a/internal/control/roller/roller.go
+++ b/internal/control/roller/roller.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
+	"pomelotiller/internal/control/assessor"
 	"pomelotiller/internal/fleet/sharer"
 	"pomelotiller/internal/observe/logger"
 	"pomelotiller/internal/observe/meter"
@@ -97,14 +98,13 @@
 	moves      map[string]*move
 	ownCounts  tally
 	peerCounts map[string]*peerTally
-	// lastBreaks holds the time of the last broken answer of each endpoint.
-	lastBreaks map[string]time.Time
+	breaks     assessor.Breaks
 }
 
 // New returns a Roller without moves.
 func New(cfg Config) *Roller {
 	return &Roller{
-		cfg: cfg, moves: make(map[string]*move), ownCounts: make(tally), peerCounts: make(map[string]*peerTally), lastBreaks: make(map[string]time.Time),
+		cfg: cfg, moves: make(map[string]*move), ownCounts: make(tally), peerCounts: make(map[string]*peerTally), breaks: make(assessor.Breaks),
 	}
 }
 
@@ -134,7 +134,7 @@
 		p.current.dropService(o.Service)
 		p.earlier.dropService(o.Service)
 	}
-	clear(r.lastBreaks)
+	clear(r.breaks)
 	r.log("msg", "move ordered", "service", o.Service, "release", o.Release, "within", o.Within, "revision", o.Revision)
 }
 
@@ -205,18 +205,11 @@
 	r.ownCounts.counts(countKey{o.Service, o.Route, o.Release}).record(o)
 }
 
-// isRepeatedBreak reports whether an outcome is a broken answer of an endpoint within breakDedupTime
-// of an earlier one. The answers in flight at an endpoint that crashes are one fault of it.
+// isRepeatedBreak reports whether an outcome is a broken answer that counts as the same event as an
+// earlier one.
 func (r *Roller) isRepeatedBreak(o carrier.Outcome, now time.Time) bool {
-	if o.Kind != carrier.OutcomeBroken && o.Kind != carrier.OutcomeStreamBroken {
-		return false
-	}
-	last, ok := r.lastBreaks[o.Endpoint]
-	if ok && now.Sub(last) < breakDedupTime {
-		return true
-	}
-	r.lastBreaks[o.Endpoint] = now
-	return false
+	isBreak := o.Kind == carrier.OutcomeBroken || o.Kind == carrier.OutcomeStreamBroken
+	return isBreak && r.breaks.IsRepeated(o.Endpoint, now)
 }
 
 // activeRevision returns the revision of the order of a service's move, or 0 if it has no active one.
