Compare the answer times of versions in a move with the old version's

Each daemon now keeps the times of the old version's answers in the classes of assessor and counts answers that take 2.8 to 8 times the median; these counts join those by which versions are compared. First tokens are compared only with old answers before which as many prompt tokens had to be computed, as router knew when it chose the endpoint, so that cold caches are no fault. The tests of a fault share the same probability of a false alarm.

TestRecordFitsGossip now looks for the longest reason among all kinds of faults.

--- a/internal/config/loader/loader.go
+++ b/internal/config/loader/loader.go
@@ -122,8 +122,8 @@
 type Bounds struct {
 	// Errors is the allowed increase of the fraction of failed requests, from 0 to 1.
 	Errors float64 `yaml:"errors,omitempty" json:"errors,omitempty"`
-	// Slow is the allowed increase of the fraction of requests over the latency target, from 0
-	// to 1.
+	// Slow is the allowed increase of the fraction of requests over the latency target, or several
+	// times slower than with the old version, from 0 to 1.
 	Slow float64 `yaml:"slow,omitempty" json:"slow,omitempty"`
 }
 
--- a/internal/control/mover/comparison.go
+++ b/internal/control/mover/comparison.go
@@ -1,6 +1,10 @@
 package mover
 
-import "pomelotiller/internal/control/assessor"
+import (
+	"slices"
+
+	"pomelotiller/internal/control/assessor"
+)
 
 // OutcomeCounts are numbers of requests to one version, by outcome. They only grow.
 type OutcomeCounts struct {
@@ -9,11 +13,19 @@
 	SlowFirst uint64 `cbor:"3,keyasint,omitempty" json:"slow_first"`
 	SlowToken uint64 `cbor:"4,keyasint,omitempty" json:"slow_token"`
 	Short     uint64 `cbor:"5,keyasint,omitempty" json:"short"`
+	// FirstLatency and TokenLatency compare times to the first token and intervals between tokens
+	// with those of the old version.
+	FirstLatency LatencyCounts `cbor:"6,keyasint" json:"first_latency"`
+	TokenLatency LatencyCounts `cbor:"7,keyasint" json:"token_latency"`
 }
 
 // Plus returns the sums of the counts of c and o.
 func (c OutcomeCounts) Plus(o OutcomeCounts) OutcomeCounts {
-	return OutcomeCounts{c.Requests + o.Requests, c.Errors + o.Errors, c.SlowFirst + o.SlowFirst, c.SlowToken + o.SlowToken, c.Short + o.Short}
+	return OutcomeCounts{
+		Requests: c.Requests + o.Requests, Errors: c.Errors + o.Errors, Short: c.Short + o.Short,
+		SlowFirst: c.SlowFirst + o.SlowFirst, SlowToken: c.SlowToken + o.SlowToken,
+		FirstLatency: c.FirstLatency.plus(o.FirstLatency), TokenLatency: c.TokenLatency.plus(o.TokenLatency),
+	}
 }
 
 // VersionCounts holds the counts of the old and the new version of a move over the same time.
@@ -29,27 +41,49 @@
 
 // faultClass is one kind of fault by which versions are compared.
 type faultClass struct {
-	name  string
-	count func(OutcomeCounts) uint64
+	name string
+	rate func(OutcomeCounts) assessor.Rate
+	// part is the part of the probability of a false alarm that the class gets.
+	part float64
 	// limit returns by how much the new version's fault rate may exceed the old one's.
 	limit func(FaultLimits) float64
 }
 
-func (c faultClass) rate(counts OutcomeCounts) assessor.Rate {
-	return assessor.Rate{Faults: c.count(counts), Requests: counts.Requests}
-}
-
 // FaultLimits are the fractions of requests by which the fault rates of the new version may exceed
 // those of the old one.
 type FaultLimits struct {
 	Errors, Slow, Short float64
 }
 
-var faultClasses = []faultClass{
-	{"errors", func(c OutcomeCounts) uint64 { return c.Errors }, func(l FaultLimits) float64 { return l.Errors }},
-	{"slow first tokens", func(c OutcomeCounts) uint64 { return c.SlowFirst }, func(l FaultLimits) float64 { return l.Slow }},
-	{"slow tokens", func(c OutcomeCounts) uint64 { return c.SlowToken }, func(l FaultLimits) float64 { return l.Slow }},
-	{"short answers", func(c OutcomeCounts) uint64 { return c.Short }, func(l FaultLimits) float64 { return l.Short }},
+// faultKinds is the number of kinds of faults, of which the two of latencyClasses are tested at
+// several levels.
+const faultKinds = 6
+
+var faultClasses = slices.Concat([]faultClass{
+	{"errors", rateOf(func(c OutcomeCounts) uint64 { return c.Errors }), 1.0 / faultKinds, func(l FaultLimits) float64 { return l.Errors }},
+	{"slow first tokens", rateOf(func(c OutcomeCounts) uint64 { return c.SlowFirst }), 1.0 / faultKinds, slowLimit},
+	{"slow tokens", rateOf(func(c OutcomeCounts) uint64 { return c.SlowToken }), 1.0 / faultKinds, slowLimit},
+	{"short answers", rateOf(func(c OutcomeCounts) uint64 { return c.Short }), 1.0 / faultKinds, func(l FaultLimits) float64 { return l.Short }},
+}, latencyClasses("relatively slow first tokens", func(c OutcomeCounts) LatencyCounts { return c.FirstLatency }),
+	latencyClasses("relatively slow tokens", func(c OutcomeCounts) LatencyCounts { return c.TokenLatency }))
+
+func slowLimit(l FaultLimits) float64 { return l.Slow }
+
+// rateOf returns a function that returns the rate of some faults among all requests.
+func rateOf(count func(OutcomeCounts) uint64) func(OutcomeCounts) assessor.Rate {
+	return func(c OutcomeCounts) assessor.Rate { return assessor.Rate{Faults: count(c), Requests: c.Requests} }
+}
+
+// latencyClasses returns one class of faults for each level at which a time is slow.
+func latencyClasses(name string, latency func(OutcomeCounts) LatencyCounts) []faultClass {
+	var classes []faultClass
+	for level := range assessor.SlowLevels {
+		classes = append(classes, faultClass{
+			name: name, part: 1.0 / faultKinds / assessor.SlowLevels, limit: slowLimit,
+			rate: func(c OutcomeCounts) assessor.Rate { return latency(c).rate(level) },
+		})
+	}
+	return classes
 }
 
 // findWorseClass returns a class of faults whose rate at the new version significantly exceeds the
@@ -57,9 +91,8 @@
 // ever returns a class for a version within the limits, however often it is called while the counts
 // grow.
 func findWorseClass(p VersionCounts, l FaultLimits, alpha float64) (faultClass, bool) {
-	alpha /= float64(len(faultClasses))
 	for _, c := range faultClasses {
-		if c.rate(p.New).Exceeds(c.rate(p.Old), c.limit(l), alpha) {
+		if c.rate(p.New).Exceeds(c.rate(p.Old), c.limit(l), alpha*c.part) {
 			return c, true
 		}
 	}
--- a/internal/control/mover/fleet_test.go
+++ b/internal/control/mover/fleet_test.go
@@ -87,6 +87,8 @@
 	requestsPerSecond int
 	// behaviourOf returns how a version answers requests of a node at the current time.
 	behaviourOf func(n *node, version string) versionBehaviour
+	// answer, if set, returns the outcome of a request in place of behaviourOf.
+	answer func(n *node, version string) relayer.Outcome
 	// isLoaded reports whether the engines have loaded a version other than v1.
 	isLoaded func(version string) bool
 	// lastNewVersionRequest is when the new version last got a request.
@@ -283,8 +285,14 @@
 	if version == "v2" {
 		f.lastNewVersionRequest = f.now
 	}
-	o := f.behaviourOf(n, version).randomOutcome(f.rand)
-	o.Route, o.Version, o.Endpoint = "chat", version, "engine"
+	var o relayer.Outcome
+	if f.answer != nil {
+		o = f.answer(n, version)
+	} else {
+		o = f.behaviourOf(n, version).randomOutcome(f.rand)
+		o.Endpoint = "engine"
+	}
+	o.Route, o.Version = "chat", version
 	n.follower.Observe(o)
 }
 
--- a/internal/control/mover/follower.go
+++ b/internal/control/mover/follower.go
@@ -91,6 +91,7 @@
 	lastReport  reportState
 	overdue     bool
 	breaks      assessor.Breaks
+	baseline    latencyBaseline
 }
 
 func (f *followedMove) isLatched() bool { return f.latch.Run > 0 && f.latch.Run >= f.record.Run }
--- a/internal/control/mover/observer.go
+++ b/internal/control/mover/observer.go
@@ -108,14 +108,14 @@
 		f.mu.Unlock()
 		return
 	}
-	counts := classifyOutcome(o, route.Target)
+	counts := m.classifyOutcome(o, route.Target)
 	pair := VersionCounts{Old: counts}
 	if o.Version == c.To {
 		pair = VersionCounts{New: counts}
 	}
 	m.ownTally = m.ownTally.resetExpired(m.record, now).withCounts(pair)
 	run, reason := m.record.Run, ""
-	if pair.New != (OutcomeCounts{Requests: 1}) && o.Version == c.To {
+	if countFaults(pair.New) > 0 {
 		reason = f.faultReason(m)
 	}
 	f.mu.Unlock()
@@ -135,7 +135,9 @@
 	return f.breaks.IsRepeated(o.Endpoint, now)
 }
 
-func classifyOutcome(o relayer.Outcome, target loader.Target) OutcomeCounts {
+// classifyOutcome returns the counts of one outcome, and adds one of the old version to the baseline
+// of latencies. The caller holds the lock.
+func (f *followedMove) classifyOutcome(o relayer.Outcome, target loader.Target) OutcomeCounts {
 	c := OutcomeCounts{Requests: 1}
 	if o.Err != nil {
 		c.Errors = 1
@@ -150,6 +152,13 @@
 	if float64(o.Tokens) < shortAnswerFraction*float64(o.MaxTokens) {
 		c.Short = 1
 	}
+	if f.baseline.run != f.record.Run {
+		f.baseline = latencyBaseline{run: f.record.Run}
+	}
+	c.FirstLatency, c.TokenLatency = f.baseline.compare(o)
+	if o.Version == f.record.From {
+		f.baseline.record(o)
+	}
 	return c
 }
 
@@ -213,6 +222,9 @@
 	}
 	if r.State == Done {
 		stage.Old, recentCounts.Old = total.Old, total.Old
+		// Caches that are filled under full load delay first tokens, and no old version has the
+		// same load to compare with.
+		stage.New.FirstLatency, recentCounts.New.FirstLatency = LatencyCounts{}, LatencyCounts{}
 	}
 	alpha /= 2 * maxSteps
 	if c, ok := findWorseClass(stage, l, alpha); ok {
@@ -226,8 +238,9 @@
 }
 
 func describeFault(r Record, c faultClass, p VersionCounts) string {
+	candidate, baseline := c.rate(p.New), c.rate(p.Old)
 	return fmt.Sprintf("version %q had %s in %d of %d requests at %g%%, version %q in %d of %d",
-		r.To, c.name, c.count(p.New), p.New.Requests, r.Share, r.From, c.count(p.Old), p.Old.Requests)
+		r.To, c.name, candidate.Faults, candidate.Requests, r.Share, r.From, baseline.Faults, baseline.Requests)
 }
 
 // DoubtReason describes the excess faults of a move's new version at the level doubtSignificance,
--- a/internal/control/mover/record_test.go
+++ b/internal/control/mover/record_test.go
@@ -10,14 +10,19 @@
 	"pomelotiller/internal/fleet/gossiper"
 )
 
-// TestRecordFitsGossip checks that the encoding of a record with names of 40 letters fits into a
-// gossip item, which heartbeats carry, and decodes to the same record.
+// TestRecordFitsGossip checks that the encoding of a record with names of 40 letters and the longest
+// reason fits into a gossip item, which heartbeats carry, and decodes to the same record.
 func TestRecordFitsGossip(t *testing.T) {
 	name := strings.Repeat("n", 40)
 	want := newRecord(testMove(time.Hour), 1<<40, startTime.Add(time.Nanosecond))
 	want.Name, want.Route, want.From, want.To, want.Holder = name, name, name, name, name
 	want.Step, want.Epoch, want.State, want.Share = 1<<40, 1<<40, Reverting, 12.5
-	want.Reason = describeFault(want, faultClasses[1], VersionCounts{Old: OutcomeCounts{Requests: 1 << 40}, New: OutcomeCounts{Requests: 1 << 40}}) + ` in failure domain "` + name + `"`
+	counts := OutcomeCounts{Requests: 1 << 40, FirstLatency: LatencyCounts{Compared: 1 << 40}, TokenLatency: LatencyCounts{Compared: 1 << 40}}
+	for _, c := range faultClasses {
+		if reason := describeFault(want, c, VersionCounts{Old: counts, New: counts}) + ` in failure domain "` + name + `"`; len(reason) > len(want.Reason) {
+			want.Reason = reason
+		}
+	}
 	b, err := gossipEncoding.Marshal(want)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/control/mover/reporter.go
+++ b/internal/control/mover/reporter.go
@@ -126,4 +126,6 @@
 	return n
 }
 
-func countFaults(c OutcomeCounts) uint64 { return c.Errors + c.SlowFirst + c.SlowToken + c.Short }
+func countFaults(c OutcomeCounts) uint64 {
+	return c.Errors + c.SlowFirst + c.SlowToken + c.Short + c.FirstLatency.Slow[0] + c.TokenLatency.Slow[0]
+}
--- a/internal/traffic/relayer/outcome.go
+++ b/internal/traffic/relayer/outcome.go
@@ -28,6 +28,10 @@
 	// caller asked for, or 0.
 	Tokens    int
 	MaxTokens int
+	// UncomputedTokens is the number of prompt tokens that the endpoint had to compute before the
+	// first token, as far as was known when it was chosen: those of the prompt that it had not
+	// cached, and those of the requests before it.
+	UncomputedTokens int
 	// Err is why the attempt failed, or nil.
 	Err error
 }
@@ -63,7 +67,7 @@
 	}
 	out := Outcome{
 		Route: job.Route.Name, Version: c.Version, Endpoint: c.Endpoint.Name, Attempt: n,
-		Tokens: o.tokens, MaxTokens: job.Prompt.MaxTokens, Err: err,
+		Tokens: o.tokens, MaxTokens: job.Prompt.MaxTokens, UncomputedTokens: c.UncomputedTokens, Err: err,
 	}
 	if o.tokens > 0 {
 		out.FirstTokenTime = o.first.Sub(o.started)
--- a/internal/traffic/relayer/outcome_test.go
+++ b/internal/traffic/relayer/outcome_test.go
@@ -1,7 +1,10 @@
 package relayer
 
 import (
+	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"pomelotiller/internal/config/loader"
@@ -59,3 +62,28 @@
 		}
 	}
 }
+
+// outcomeFunc implements Outcomes.
+type outcomeFunc func(Outcome)
+
+func (f outcomeFunc) Observe(o Outcome) { f(o) }
+
+// TestOutcomeCountsUncomputedTokens checks that the outcome of an attempt says how much of the prompt
+// the engine had to compute: all of it for the first request, none for the same prompt again.
+func TestOutcomeCountsUncomputedTokens(t *testing.T) {
+	b := newFixture(t, 1)
+	var got []int
+	b.relayer.cfg.Outcomes = outcomeFunc(func(o Outcome) { got = append(got, o.UncomputedTokens) })
+	prompt := strings.Repeat("a", 4*inferrer.BlockTokens*inferrer.TokenBytes)
+	for i := range 2 {
+		job := b.job(fmt.Sprintf("request-%d", i))
+		job.Prompt.Prompt = prompt
+		job.Fields["prompt"] = json.RawMessage(`"` + prompt + `"`)
+		if err := b.relayer.Run(t.Context(), job, &textSink{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if want := []int{4 * inferrer.BlockTokens, 0}; !slices.Equal(got, want) {
+		t.Errorf("got %v uncomputed tokens, want %v", got, want)
+	}
+}
--- a/internal/traffic/router/router.go
+++ b/internal/traffic/router/router.go
@@ -75,10 +75,13 @@
 // Choice is the endpoint chosen for an attempt. The caller must call Release once the attempt
 // has ended, and FirstToken if and when the first token arrives.
 type Choice struct {
-	Endpoint   viewer.Endpoint
-	Version    string
-	FirstToken func()
-	Release    func()
+	Endpoint viewer.Endpoint
+	Version  string
+	// UncomputedTokens is the estimated number of prompt tokens that the endpoint has to compute
+	// before the first token: those that it has not cached, and those that wait there.
+	UncomputedTokens int
+	FirstToken       func()
+	Release          func()
 }
 
 // Config configures a Router.
@@ -188,6 +191,7 @@
 func (r *Router) recordChoice(q Query, c Candidate, now time.Time) Choice {
 	name := c.Name
 	pending := endpointLoad{requests: 1, pendingTokens: q.promptTokens - min(c.CachedBlocks*inferrer.BlockTokens, q.promptTokens)}
+	uncomputed := pending.pendingTokens + c.UncomputedTokens
 	units := predictedTokens(q, c)
 	r.ownLoads[name] = r.ownLoads[name].add(pending)
 	r.prefixIndex.addBlocks(name, q.blockHashes, now)
@@ -211,7 +215,9 @@
 			delete(r.ownLoads, name)
 		}
 	})
-	return Choice{Endpoint: c.Endpoint, Version: q.Version, FirstToken: first, Release: release}
+	return Choice{
+		Endpoint: c.Endpoint, Version: q.Version, UncomputedTokens: uncomputed, FirstToken: first, Release: release,
+	}
 }
 
 // shareResolution is the number of steps of a share: one step is a hundredth of a percent.
--- a/internal/traffic/router/router_test.go
+++ b/internal/traffic/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -142,6 +143,22 @@
 	}
 }
 
+// TestChoiceCountsUncomputedTokens checks that a choice counts the prompt tokens that are not cached
+// and those that wait at the endpoint.
+func TestChoiceCountsUncomputedTokens(t *testing.T) {
+	r, v := New(Config{}), newView(1)
+	a := choose(t, r, v, newQuery(promptOfBlocks("a", 100)))
+	again := choose(t, r, v, newQuery(promptOfBlocks("a", 100)+promptOfBlocks("b", 2)))
+	a.FirstToken()
+	again.FirstToken()
+	warm := choose(t, r, v, newQuery(promptOfBlocks("a", 100)))
+	got := []int{a.UncomputedTokens, again.UncomputedTokens, warm.UncomputedTokens}
+	want := []int{100 * inferrer.BlockTokens, 102 * inferrer.BlockTokens, 0}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %v uncomputed tokens, want %v", got, want)
+	}
+}
+
 func TestPolicyNames(t *testing.T) {
 	for name, ok := range map[string]bool{"": true, "predicted": true, "round-robin": true, "prefix-hash": true, "best": false} {
 		if _, err := NewPolicy(name); (err == nil) != ok {
