Complete no stream by an answer that adds nothing to it

A stream broke off after its first event, and the endpoint that was to resume it answered 200 with no event: the caller got a complete stream of one event (ORDER). Whether the first endpoint had sent the last event is not known.

TestEmptyContinuationDoesNotCompleteAStream got "id: 1 ..." as a complete stream before.

The attempt fails now. A caller that has the whole stream resumes it and gets the empty answer of its own request, as TestStreamWithoutEventsKeepsItsHeader checks.

--- a/internal/traffic/carrier/deliver.go
+++ b/internal/traffic/carrier/deliver.go
@@ -217,9 +217,13 @@
 		return err
 	}
 	if q.events.started {
+		if a.from != "" && a.lastID == "" {
+			// The caller may have the last event, and can find that out itself.
+			return fmt.Errorf("continuation after event %q holds no event: %w", a.from, io.ErrUnexpectedEOF)
+		}
 		return nil
 	}
-	// A stream that is resumed after its last event has a header and no events.
+	// A stream that the caller resumes after its last event has a header and no events.
 	return c.forwardEvents(q, a, nil, admission{})
 }
 
