Let an endpoint that leaves end its last answer with its connection

Found in review of the check of ends. An endpoint that stops in order closes its listener first and then completes what it is sending; an answer without a length then ended with 502, and as a crash of the endpoint it counted against the parts of the prompt.

TestWholeAnswerOfAnEndpointThatLeaves got 502 before; the killed endpoints of TestStreamsUnderFaults and TestPlainAnswersUnderFaults still count as broken off.

Only an endpoint that is announced and has not said that it leaves is asked. A head without a body, as of HEAD, marks its end by itself.

--- a/internal/traffic/carrier/deliver.go
+++ b/internal/traffic/carrier/deliver.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"pomelotiller/internal/config/registrar"
+	"pomelotiller/internal/fleet/tracker"
 	"pomelotiller/internal/traffic/chooser"
 	"pomelotiller/internal/traffic/dialer"
 )
@@ -98,19 +100,28 @@
 }
 
 // checkEnd returns an error if the end of the connection ended the answer and its endpoint refuses
-// connections: a process that is killed closes its connections like one that has sent all.
+// connections without having said that it leaves: a process that is killed closes its connections like one
+// that has sent all. One that leaves may refuse connections while it sends its last answers.
 func (a *answer) checkEnd() error {
-	if framing(a.res) != framingClose {
+	if framing(a.res) != framingClose || !a.isAnnounced() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(a.ctx, endCheckTimeout)
 	defer cancel()
-	if !a.c.cfg.Pool.IsRefused(ctx, dialer.Target{Address: a.choice.Endpoint.Address, Instance: a.choice.Endpoint.ID}) {
+	if !a.c.cfg.Pool.IsRefused(ctx, a.choice.Endpoint.Address) {
 		return nil
 	}
 	return fmt.Errorf("endpoint ended with its answer: %w", io.ErrUnexpectedEOF)
 }
 
+// isAnnounced reports whether the incarnation of the endpoint is one to use, and not leaving or gone.
+func (a *answer) isAnnounced() bool {
+	e := a.choice.Endpoint
+	return slices.ContainsFunc(a.c.cfg.Endpoints().Services[e.Service], func(other tracker.Endpoint) bool {
+		return other.ID == e.ID && other.Born == e.Born
+	})
+}
+
 // interruptOnCancel makes reads and writes on the connection fail once the attempt's
 // context is done. The returned function stops that.
 func (a *answer) interruptOnCancel() func() bool {
--- a/internal/traffic/carrier/framing.go
+++ b/internal/traffic/carrier/framing.go
@@ -15,7 +15,7 @@
 	switch {
 	case len(res.TransferEncoding) > 0:
 		return framingChunks
-	case res.ContentLength >= 0:
+	case res.ContentLength >= 0 || res.Body == http.NoBody:
 		return framingLength
 	}
 	return framingClose
--- a/internal/traffic/dialer/dialer.go
+++ b/internal/traffic/dialer/dialer.go
@@ -149,10 +149,10 @@
 	}
 }
 
-// IsRefused reports whether a target refuses connections, as the address of a process that has ended does.
+// IsRefused reports whether an address refuses connections, as that of a process that has ended does.
 // An open connection does not tell: those of a process that ends are closed one after the other.
-func (p *Pool) IsRefused(ctx context.Context, t Target) bool {
-	c, err := p.dialer.DialContext(ctx, "tcp", t.Address)
+func (p *Pool) IsRefused(ctx context.Context, address string) bool {
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
