Know a stream that is started again by its first id, too

Found in review. A resumption that began the stream again was told by ids that are numbers; with names, e1 and e2 came a second time and the stream ended as complete. A stream whose ids begin at 0 was not known to leave none out.

Before: TestNamedEventsDoNotComeTwice got a complete stream, and of two new cases of TestEventOrder "got 5 events and error <nil>, want 2" and "got 2 events, want 1".

The first id of the stream is kept beside the last one, and 0 begins a stream like 1.

--- a/internal/traffic/carrier/order.go
+++ b/internal/traffic/carrier/order.go
@@ -15,8 +15,8 @@
 // eventOrder follows the ids of the events of one stream that the caller has, over all attempts. Ids that
 // are numbers rise from event to event.
 type eventOrder struct {
-	// lastID is the id of the last event with an id; empty if there is none.
-	lastID string
+	// lastID is the id of the last event with an id, firstID that of the first one; empty if there is none.
+	lastID, firstID string
 	// unnamed says that the caller has an event with data after the one with lastID, or without any id.
 	unnamed bool
 	// steps counts the events whose number was the next one, and jumps those that left numbers out.
@@ -71,15 +71,18 @@
 	next, isNumber := number(id)
 	last, wasNumber := number(o.lastID)
 	switch {
-	case id == o.lastID || isNumber && wasNumber && next <= last:
+	case id == o.lastID || joins && id == o.firstID || isNumber && wasNumber && next <= last:
 		return fmt.Errorf("%w: %q after %q", errEventOrder, id, o.lastID)
-	case isNumber && (wasNumber || o.lastID == "") && next == last+1:
+	case isNumber && wasNumber && next == last+1, o.lastID == "" && isNumber && next <= 1:
 		o.steps++
 	case joins && o.steps > 0 && o.jumps == 0:
 		return fmt.Errorf("%w: %q after %q of a stream that left no number out", errEventOrder, id, o.lastID)
 	case o.lastID != "":
 		o.jumps++
 	}
+	if o.firstID == "" {
+		o.firstID = id
+	}
 	o.lastID, o.unnamed = id, false
 	return nil
 }
--- a/internal/traffic/carrier/order_test.go
+++ b/internal/traffic/carrier/order_test.go
@@ -39,6 +39,8 @@
 		{"caller resumes, goes on twice", "5", [][]string{{"6"}, {"7"}}, 2, true},
 		{"caller resumes, leaves one out later", "5", [][]string{{"6"}, {"8"}}, 1, false},
 		{"names", "", [][]string{{"a", "b"}, {"c"}}, 3, true},
+		{"names, starts again", "", [][]string{{"a", "b"}, {"a", "b", "c"}}, 2, false},
+		{"starts at zero, leaves an event out", "", [][]string{{"0"}, {"2"}}, 1, false},
 		{"names, repeated", "", [][]string{{"a", "b"}, {"b"}}, 2, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
