--- a/internal/control/assessor/assessor.go
+++ b/internal/control/assessor/assessor.go
@@ -56,9 +56,10 @@
 // Robbins' mixture martingale with a uniform prior.
 func (r Rate) LowerBound(alpha float64) float64 {
 	low, high := 0.0, r.Fraction()
+	mixture := r.logMixture()
 	for range boundBisections {
 		mid := (low + high) / 2
-		if r.rejects(mid, alpha) {
+		if r.rejectsWith(mixture, mid, alpha) {
 			low = mid
 		} else {
 			high = mid
@@ -75,9 +76,17 @@
 
 // rejects reports whether the observation refutes the fault probability p at level alpha: the
 // likelihood ratio of the mixture to p is at least 1/alpha.
-func (r Rate) rejects(p, alpha float64) bool {
+func (r Rate) rejects(p, alpha float64) bool { return r.rejectsWith(r.logMixture(), p, alpha) }
+
+// logMixture returns the logarithm of the likelihood of the mixture.
+func (r Rate) logMixture() float64 {
+	faults, others := float64(r.Faults), float64(r.Requests-r.Faults)
+	return logGamma(faults+1) + logGamma(others+1) - logGamma(faults+others+2)
+}
+
+// rejectsWith is rejects with the value of logMixture.
+func (r Rate) rejectsWith(mixture, p, alpha float64) bool {
 	faults, others := float64(r.Faults), float64(r.Requests-r.Faults)
-	mixture := logGamma(faults+1) + logGamma(others+1) - logGamma(faults+others+2)
 	likelihood := 0.0
 	if faults > 0 {
 		likelihood += faults * math.Log(p)
