Log the limit that an endpoint names with each attempt

Change: the codec reads the field into Verdict.Limit, and an attempt line has limit=N. Nothing decides by it yet.

--- a/internal/traffic/carrier/account.go
+++ b/internal/traffic/carrier/account.go
@@ -105,6 +105,9 @@
 	if a.res != nil {
 		fields = append(fields, "status", a.res.StatusCode, "framing", framing(a.res))
 	}
+	if a.verdict.Limit.State != LimitAbsent {
+		fields = append(fields, "limit", a.verdict.Limit.String())
+	}
 	if a.from != "" {
 		fields = append(fields, "from", a.from)
 	}
--- a/internal/traffic/carrier/codec.go
+++ b/internal/traffic/carrier/codec.go
@@ -59,6 +59,8 @@
 	RetryAfter time.Duration
 	// Idle is how long the endpoint keeps an idle connection; 0 if unstated.
 	Idle time.Duration
+	// Limit is what the endpoint says of the requests that it takes from all daemons.
+	Limit RequestLimit
 }
 
 // Codec reads and writes the header fields that callers and endpoints use.
