Keep the whole fleet within the request limits that endpoints name

Cause: no daemon acted on the field. The class of fault: a bound of the fleet that each daemon would have to keep by itself, or that none knows of. Change: traffic/throttler. A few daemons by rendezvous hashing, the senders, share the limit; the chooser takes a limited endpoint for unavailable while this daemon's bucket is empty. Statuses spread changes at once. Why it works: the senders' buckets add up to the limit whatever the size of the fleet, and no message is needed for that.

--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -38,6 +38,7 @@
 	"pomelotiller/internal/traffic/dialer"
 	"pomelotiller/internal/traffic/limiter"
 	"pomelotiller/internal/traffic/quarantiner"
+	"pomelotiller/internal/traffic/throttler"
 )
 
 const (
@@ -118,6 +119,7 @@
 	store           *storer.ReachabilityStore
 	catalog         atomic.Pointer[registrar.Catalog]
 	tracker         *tracker.Tracker
+	throttler       *throttler.Throttler
 	chooser         *chooser.Chooser
 	connPool        *dialer.Pool
 	allowances      *limiter.Allowances
@@ -220,7 +222,8 @@
 // buildTraffic builds the components that process requests.
 func (d *Daemon) buildTraffic() {
 	s := d.cfg.Settings
-	d.chooser = chooser.New(chooser.Config{Domain: s.Domain, IsLargeFleet: d.sharer.IsLargeFleet, Policies: d.policies})
+	d.throttler = throttler.New(throttler.Config{Self: s.PeersAddress(), Members: d.memberAddresses, Announce: d.sharer.SendNow, Logger: d.logger, Registry: d.registry})
+	d.chooser = chooser.New(chooser.Config{Domain: s.Domain, IsLargeFleet: d.sharer.IsLargeFleet, Policies: d.policies, Limits: d.throttler})
 	d.connPool = dialer.New(dialer.Config{Timeout: dialTimeout, Registry: d.registry})
 	d.allowances = limiter.NewAllowances(limiter.Config{StartFull: s.Edge.First, Tolerance: allowanceTolerance(s), Policies: d.policies})
 	d.retryBudget = limiter.NewBudget(retryBudgetConfig(s))
@@ -233,7 +236,7 @@
 	d.quarantiner = quarantiner.New(quarantiner.Config{Announce: d.sharer.SendNow, Logger: d.logger, Registry: d.registry})
 	d.carrier = carrier.New(carrier.Config{
 		Codec: d.cfg.Adapter.HeaderCodec, Catalog: d.catalog.Load, Endpoints: d.tracker.Load, MarkLeaving: d.tracker.MarkLeaving,
-		Chooser: d.chooser, Pool: d.connPool, Allowances: d.allowances, Budget: d.retryBudget, Usage: usageRecorder{d}, Demand: d.demandMeter, Trials: d.roller, Quarantine: d.quarantiner,
+		Chooser: d.chooser, Pool: d.connPool, Allowances: d.allowances, Budget: d.retryBudget, Usage: usageRecorder{d}, Demand: d.demandMeter, Trials: d.roller, Quarantine: d.quarantiner, Limits: d.throttler,
 		Members: d.memberCount, Policies: d.policies, Tracer: d.tracer, Logger: d.logger, Registry: d.registry,
 	})
 	d.callerServer = newCallerServer(d.carrier, d.catalog.Load, d.logger)
--- a/internal/daemon/composer/statuses.go
+++ b/internal/daemon/composer/statuses.go
@@ -22,6 +22,7 @@
 	s.Demands = d.demandMeter.OwnDemand()
 	s.Trials, s.Moves = d.roller.LocalReport()
 	s.Suspicions = d.quarantiner.LocalReport()
+	s.RequestLimits = d.throttler.LocalReport()
 }
 
 // receiveStatus applies a status of another daemon. If the daemon's load arrives in the totals of a
@@ -46,6 +47,7 @@
 	d.dutyKeeper.RecordEpoch(current.DutyEpoch)
 	d.roller.RecordReport(current.Name, current.Boot, current.Trials, current.Moves)
 	d.quarantiner.RecordReport(current.Name, current.Suspicions)
+	d.throttler.RecordReport(current.RequestLimits, current.Received)
 	if old == nil || !maps.Equal(old.Revisions, current.Revisions) {
 		d.operatorReplica.PullNow()
 		d.endpointReplica.PullNow()
@@ -126,6 +128,15 @@
 	return members, unreachable
 }
 
+// memberAddresses returns the addresses of the daemons that there may be; none before this daemon has joined
+// the fleet, since it does not know the others then.
+func (d *Daemon) memberAddresses() []string {
+	if !d.hasJoined.Load() {
+		return nil
+	}
+	return d.sharer.MemberAddresses()
+}
+
 func (d *Daemon) memberCount() int {
 	members, _ := d.countMembers()
 	return members
--- a/internal/daemon/composer/tasks.go
+++ b/internal/daemon/composer/tasks.go
@@ -84,7 +84,14 @@
 }
 
 // dropRemovedEndpoints drops the load balancing state of endpoints that no longer exist.
-func (d *Daemon) dropRemovedEndpoints() { d.chooser.DropUnknown(d.tracker.Load().All) }
+func (d *Daemon) dropRemovedEndpoints() {
+	known := d.tracker.Load().All
+	d.chooser.DropUnknown(known)
+	d.throttler.Retain(func(endpoint string, born int64) bool {
+		e, ok := known[endpoint]
+		return ok && e.Born == born
+	})
+}
 
 // availableReleases returns the releases of a service that have endpoints.
 func (d *Daemon) availableReleases(service string) []string {
--- a/internal/fleet/ranker/ranker.go
+++ b/internal/fleet/ranker/ranker.go
@@ -48,3 +48,21 @@
 }
 
 func score(key, name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
+
+// Position returns how many of the names have a higher rendezvous score for a key than self; -1 if self is
+// not among them.
+func Position(key, self string, names []string) int {
+	own, position, found := score(key, self), 0, false
+	for _, n := range names {
+		switch s := score(key, n); {
+		case n == self:
+			found = true
+		case s > own || s == own && n < self:
+			position++
+		}
+	}
+	if !found {
+		return -1
+	}
+	return position
+}
--- a/internal/fleet/sharer/members.go
+++ b/internal/fleet/sharer/members.go
@@ -48,6 +48,36 @@
 	return s.memberCount, s.unreachableCount
 }
 
+// MemberAddresses returns the addresses of all daemons that may serve requests, this one included: those
+// that CountMembers counts, but for daemons that are about to end.
+func (s *Sharer) MemberAddresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	if !s.stopping {
+		out = append(out, s.cfg.Address)
+	}
+	known := make(map[string]bool, len(s.peers))
+	for _, p := range s.peers {
+		known[p.Address] = true
+		if !p.Stopping {
+			out = append(out, p.Address)
+		}
+	}
+	return append(out, s.unansweredContacts(known)...)
+}
+
+// unansweredContacts returns the addresses of late that are not among the known ones.
+func (s *Sharer) unansweredContacts(known map[string]bool) []string {
+	var out []string
+	for a, c := range s.contacts {
+		if !known[a] && time.Since(c.firstSeen) < forgetTime {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // recountMembers computes the results of CountMembers.
 func (s *Sharer) recountMembers() {
 	s.memberCount, s.unreachableCount = 1, 0
@@ -59,12 +89,9 @@
 			s.unreachableCount++
 		}
 	}
-	for a, c := range s.contacts {
-		if !known[a] && time.Since(c.firstSeen) < forgetTime {
-			s.memberCount++
-			s.unreachableCount++
-		}
-	}
+	n := len(s.unansweredContacts(known))
+	s.memberCount += n
+	s.unreachableCount += n
 }
 
 // ClockOffset returns what to add to this daemon's clock to get the median clock of all reachable
--- a/internal/fleet/sharer/status.go
+++ b/internal/fleet/sharer/status.go
@@ -46,6 +46,8 @@
 	RemainingAllowance []RemainingAllowance `cbor:"21,keyasint,omitempty"`
 	// Suspicions are what the daemon knows of prompt blocks under which engines crash.
 	Suspicions Suspicions `cbor:"24,keyasint,omitzero"`
+	// RequestLimits are the request limits of endpoints of which the daemon has the latest answer.
+	RequestLimits []RequestLimit `cbor:"25,keyasint,omitempty"`
 	// Hub reports that the daemon considers itself a hub. Every daemon computes the hubs from the
 	// members it can reach, so the results differ after a partition.
 	Hub bool `cbor:"20,keyasint,omitempty"`
@@ -134,6 +136,25 @@
 	Settled bool `cbor:"5,keyasint,omitempty"`
 }
 
+// RequestLimit is what an endpoint said in an answer of the requests that it takes from all daemons together.
+type RequestLimit struct {
+	Endpoint string `cbor:"1,keyasint"`
+	Born     int64  `cbor:"2,keyasint"`
+	// PerSecond is the number of requests a second.
+	PerSecond float64 `cbor:"3,keyasint,omitempty"`
+	// Ended reports that the endpoint names no limit any more.
+	Ended bool `cbor:"4,keyasint,omitempty"`
+	// Age is the time since the answer arrived or, for an ended limit, since its request was sent, in
+	// milliseconds.
+	Age int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// isSameLimit reports whether two reports differ in no more than the age.
+func isSameLimit(a, b RequestLimit) bool {
+	a.Age, b.Age = 0, 0
+	return a == b
+}
+
 // Suspicions are what a daemon knows of prompt blocks under which engines crash.
 type Suspicions struct {
 	Crashes []Crash `cbor:"1,keyasint,omitempty"`
--- a/internal/fleet/sharer/validate.go
+++ b/internal/fleet/sharer/validate.go
@@ -61,7 +61,16 @@
 	if s.DutyEpoch > maxTotal {
 		return fmt.Errorf("epoch in status of %q out of range: %w", s.Name, errMalformed)
 	}
-	return errors.Join(validateLoads(s.Loads), validateSpent(s.Admissions), validateLeft(s.RemainingAllowance))
+	return errors.Join(validateLoads(s.Loads), validateSpent(s.Admissions), validateLeft(s.RemainingAllowance), validateLimits(s.RequestLimits))
+}
+
+func validateLimits(limits []RequestLimit) error {
+	for _, l := range limits {
+		if !(l.PerSecond >= 0) || math.IsInf(l.PerSecond, 0) || l.Age < 0 || l.Age > maxCount {
+			return fmt.Errorf("request limit of endpoint %q out of range: %w", l.Endpoint, errMalformed)
+		}
+	}
+	return nil
 }
 
 func validateLeft(left []RemainingAllowance) error {
--- a/internal/traffic/carrier/attempt.go
+++ b/internal/traffic/carrier/attempt.go
@@ -236,6 +236,7 @@
 		q.runState = max(q.runState, refuser.Unknown)
 		return &attemptError{maybeSent: true, reason: fmt.Sprintf("answer with status %d does not name its request", a.res.StatusCode), err: errUnnamed}
 	}
+	a.recordLimit()
 	if a.verdict.Misdirected {
 		e := a.choice.Endpoint
 		a.c.cfg.MarkLeaving(e.ID, e.Born, "another endpoint has its address")
--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -79,6 +79,8 @@
 	Demand      Demand
 	Trials      Trials
 	Quarantine  Quarantine
+	// Limits learns the request limits that endpoints name; nil means that they are not read.
+	Limits Limits
 	// Members returns the number of daemons in the fleet. They share the connection
 	// limit of each endpoint equally.
 	Members func() int
@@ -104,6 +106,9 @@
 
 // New returns a carrier.
 func New(cfg Config) *Carrier {
+	if cfg.Limits == nil {
+		cfg.Limits = noLimits{}
+	}
 	c := &Carrier{cfg: cfg}
 	c.ending, c.endRequests = context.WithCancel(context.Background())
 	return c
--- a/internal/traffic/carrier/limit.go
+++ b/internal/traffic/carrier/limit.go
@@ -1,6 +1,10 @@
 package carrier
 
-import "strconv"
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
 
 // LimitState is what an answer says of its endpoint's request limit.
 type LimitState int
@@ -33,3 +37,30 @@
 	}
 	return "absent"
 }
+
+// Limits learns the request limits that endpoints name in their answers.
+type Limits interface {
+	// RecordLimit records a limit in requests a second.
+	RecordLimit(endpoint string, born int64, perSecond float64)
+	// RecordNoLimit records an answer without a limit to a request that was sent at a time.
+	RecordNoLimit(endpoint string, born int64, sentAt time.Time)
+}
+
+// noLimits is a Limits that learns nothing.
+type noLimits struct{}
+
+func (noLimits) RecordLimit(string, int64, float64)     {}
+func (noLimits) RecordNoLimit(string, int64, time.Time) {}
+
+// recordLimit records what the header of an answer says of the endpoint's limit. A refusal or a failure
+// without a limit does not end it: only an answer that is the endpoint's own and whole does.
+func (a *answer) recordLimit() {
+	e, v := a.choice.Endpoint, a.verdict
+	switch {
+	case v.Misdirected:
+	case v.Limit.State == LimitNamed:
+		a.c.cfg.Limits.RecordLimit(e.ID, e.Born, v.Limit.PerSecond)
+	case v.Limit.State == LimitAbsent && !v.NotRun && a.res.StatusCode < http.StatusInternalServerError:
+		a.c.cfg.Limits.RecordNoLimit(e.ID, e.Born, a.sentAt)
+	}
+}
--- a/internal/traffic/carrier/serve.go
+++ b/internal/traffic/carrier/serve.go
@@ -93,6 +93,7 @@
 		}
 	}
 	if late := ch.Wait - q.query.MaxWait; late > 0 && q.attempts == 0 && c.cfg.Policies.IsOn(switcher.Late) {
+		c.cfg.Chooser.Return(ch)
 		c.cfg.Demand.RecordRefusal(q.service.Name)
 		return ch, &refuser.Refusal{
 			Status: http.StatusServiceUnavailable, Title: "overloaded", Run: q.runState, RetryAfter: max(late, minRetryAfter),
--- a/internal/traffic/chooser/chooser.go
+++ b/internal/traffic/chooser/chooser.go
@@ -44,7 +44,9 @@
 	IsLargeFleet func() bool
 	// Policies switch the criteria of the choice on and off.
 	Policies switcher.Policies
-	Now      func() time.Time
+	// Limits are the request limits that endpoints name; nil means that there are none.
+	Limits Limits
+	Now    func() time.Time
 }
 
 // Chooser is a load balancer over all endpoints known to one daemon.
@@ -91,8 +93,8 @@
 	Running, QueuedTokens int
 	// Candidates counts the endpoints that were compared.
 	Candidates int
-	// AvailableIn is the time until the next paused or ejected endpoint is available; 0 if there is
-	// none.
+	// AvailableIn is the time until the next paused, ejected or limited endpoint is available; 0 if there
+	// is none.
 	AvailableIn time.Duration
 	// UsedFraction is the fraction of the slots of all candidates that is in use.
 	UsedFraction float64
@@ -103,6 +105,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Limits == nil {
+		cfg.Limits = noLimits{}
+	}
 	if cfg.IsLargeFleet == nil {
 		cfg.IsLargeFleet = func() bool { return false }
 	}
@@ -124,10 +129,15 @@
 	if large && c.cfg.Policies.IsOn(switcher.Sample) && len(endpoints) > sampleSize+sampledHomes {
 		ch, ok := c.bestChoice(q, model, c.sampleEndpoints(endpoints, q))
 		if ok && (q.MaxWait == 0 || ch.Wait <= q.MaxWait) {
+			c.takeLimit(ch)
 			return ch, true
 		}
 	}
-	return c.bestChoice(q, model, endpoints)
+	ch, ok := c.bestChoice(q, model, endpoints)
+	if ok {
+		c.takeLimit(ch)
+	}
+	return ch, ok
 }
 
 // bestChoice returns the available endpoint of least cost.
@@ -143,7 +153,7 @@
 			continue
 		}
 		s := c.endpointState(e.ID, e.Born)
-		unavailableFor := s.unavailableFor(now)
+		unavailableFor := max(s.unavailableFor(now), c.cfg.Limits.Wait(e.ID, e.Born))
 		if unavailableFor > 0 && (bestChoice.AvailableIn == 0 || unavailableFor < bestChoice.AvailableIn) {
 			bestChoice.AvailableIn = unavailableFor
 		}
