Log which requests are the same

Change: request lines and failed attempts have key=, a hash of organisation, method, host, target and body. Nothing decides by it yet. Result: no decision changes; go test ./platform passes.

--- a/internal/traffic/carrier/account.go
+++ b/internal/traffic/carrier/account.go
@@ -29,7 +29,7 @@
 	c.updateTimer("request_seconds", q.route.Name, took)
 	fields := []any{
 		"msg", "request", "id", q.ID, "outcome", outcome, "status", q.status, "run", q.runState, "took", took, "route", q.route.Name,
-		"organisation", q.org.Name, "service", q.service.Name, "attempts", q.attempts, "cost", q.cost,
+		"organisation", q.org.Name, "service", q.service.Name, "key", q.key, "attempts", q.attempts, "cost", q.cost,
 		"config", q.catalogVersion, "endpoints", q.endpointsVersion, "events", q.events.writes,
 	}
 	if !q.expiry.IsZero() {
@@ -90,7 +90,7 @@
 	}
 	fields = append(fields, answerFields(a)...)
 	if err != nil {
-		fields = append(fields, "run", q.runState, "blocks", blockIDs(q.query.PromptBlocks), "error", err)
+		fields = append(fields, "run", q.runState, "key", q.key, "blocks", blockIDs(q.query.PromptBlocks), "error", err)
 		meter.AddToCounter(c.cfg.Registry, 1, "attempt_failures_total", "service", q.service.Name)
 		logger.Warn(c.cfg.Logger, fields...)
 		return
--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -136,6 +136,8 @@
 	refusedCost float64
 	decision    limiter.Decision
 	query       chooser.Query
+	// key identifies requests that are the same.
+	key string
 	// sharedBlocks are the ids of the prompt blocks that other requests may share: all but the last.
 	sharedBlocks []string
 	// runState only moves from not run to unknown to ran.
@@ -239,6 +241,7 @@
 	if err := c.readBodyUntilEnd(q, r, cat.Limits.BodyBytes); err != nil {
 		return err
 	}
+	q.key = q.identify()
 	if err := c.checkQuarantine(q); err != nil {
 		return err
 	}
