--- a/internal/standin/responder/answer.go
+++ b/internal/standin/responder/answer.go
@@ -57,6 +57,10 @@
 // the connection stays open.
 func (e *Endpoint) executeRun(c net.Conn, r *bufio.Reader, n int, id string, fault Fault) bool {
 	time.Sleep(e.cfg.Pause)
+	if e.isDeadly(n) {
+		e.crash()
+		return false
+	}
 	switch fault {
 	case FaultReset:
 		resetConn(c)
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -121,6 +121,8 @@
 	Events int
 	// Pause is the time before the answer and after each event.
 	Pause time.Duration
+	// DeadlyBody is the body of requests that crash the endpoint as it runs them; empty for none.
+	DeadlyBody string
 	// HeadBytes is the number of bytes that FaultHeadCut sends.
 	HeadBytes int
 }
@@ -135,6 +137,9 @@
 	faults       []Fault
 	runs         []Run
 	conns        map[net.Conn]bool
+	// crashed is closed once a request crashed the endpoint.
+	crashed   chan struct{}
+	crashOnce sync.Once
 	// extraHeader holds header lines that are added to each answer, and interimAnswer
 	// an interim answer that is sent before each.
 	extraHeader, interimAnswer string
@@ -146,7 +151,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	e := &Endpoint{cfg: cfg, ln: ln, conns: make(map[net.Conn]bool)}
+	e := &Endpoint{cfg: cfg, ln: ln, conns: make(map[net.Conn]bool), crashed: make(chan struct{})}
 	go e.acceptConns()
 	return e, nil
 }
@@ -201,6 +206,25 @@
 	return err
 }
 
+// Crashed returns a channel that is closed once a request crashed the endpoint.
+func (e *Endpoint) Crashed() <-chan struct{} { return e.crashed }
+
+// isDeadly reports whether a recorded run crashes the endpoint.
+func (e *Endpoint) isDeadly(n int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cfg.DeadlyBody != "" && e.runs[n].Body == e.cfg.DeadlyBody
+}
+
+// crash closes the listener and all connections, as the end of the process does.
+func (e *Endpoint) crash() {
+	e.crashOnce.Do(func() {
+		// Errors mean that the endpoint is closed already.
+		_ = e.Close()
+		close(e.crashed)
+	})
+}
+
 func (e *Endpoint) acceptConns() {
 	for {
 		c, err := e.ln.Accept()
