Refuse a repeated request under which endpoints crash

Cause: breaks were recorded by the shared blocks of a prompt. A plain request has none, nor is the repeat of a whole prompt told from others, so that nothing was remembered. Change: the whole request is one more block of the quarantiner, known by a hash of organisation, method, host, target and body. An answer to a whole request counts only once it broke off, and the requests kept of one crash are bounded, so that neither memory nor statuses grow with all requests. Why it works: the deadly request is the only one that is in all crashes and is answered by none.

--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -52,15 +52,15 @@
 	RecordOutcome(o Outcome)
 }
 
-// Quarantine knows the prompt blocks under which engines crash, and learns them from the outcomes of
-// attempts. All methods are given the blocks of a prompt that other requests may share.
+// Quarantine knows the prompt blocks and whole requests under which endpoints crash, and learns them from the
+// outcomes of attempts. All methods are given the parts of a request that others may have in common with it.
 type Quarantine interface {
-	// TimeLeft returns for how long requests with these blocks are refused; 0 if they are not.
-	TimeLeft(blocks []string) time.Duration
-	// IsSuspect reports whether such requests must not be retried at another engine.
-	IsSuspect(blocks []string) bool
-	RecordBreak(endpoint string, born int64, blocks []string, began bool)
-	RecordAnswer(blocks []string)
+	// TimeLeft returns for how long requests with these parts are refused; 0 if they are not.
+	TimeLeft(parts []string) time.Duration
+	// IsSuspect reports whether such requests must not be retried at another endpoint.
+	IsSuspect(parts []string) bool
+	RecordBreak(endpoint string, born int64, parts []string, began bool)
+	RecordAnswer(parts []string)
 }
 
 // Config configures a Carrier.
@@ -138,8 +138,9 @@
 	query       chooser.Query
 	// key identifies requests that are the same.
 	key string
-	// sharedBlocks are the ids of the prompt blocks that other requests may share: all but the last.
-	sharedBlocks []string
+	// parts are what the quarantine knows the request by: the prompt blocks that other requests may share,
+	// which are all but the last, and the request as a whole.
+	parts []string
 	// runState only moves from not run to unknown to ran.
 	runState refuser.RunState
 	attempts int
--- a/internal/traffic/carrier/deliver.go
+++ b/internal/traffic/carrier/deliver.go
@@ -68,7 +68,7 @@
 	a.body = body
 	c.recordAnswer(q, a)
 	if a.res.StatusCode < http.StatusInternalServerError {
-		c.cfg.Quarantine.RecordAnswer(q.sharedBlocks)
+		c.cfg.Quarantine.RecordAnswer(q.parts)
 		a.finish(chooser.ResultGood, true)
 		c.logAttempt(q, a, nil)
 		return c.writeAnswer(q, a)
@@ -164,7 +164,7 @@
 	stop()
 	switch {
 	case err == nil:
-		c.cfg.Quarantine.RecordAnswer(q.sharedBlocks)
+		c.cfg.Quarantine.RecordAnswer(q.parts)
 		a.finish(chooser.ResultGood, true)
 		c.logAttempt(q, a, nil)
 		return nil
--- a/internal/traffic/carrier/serve.go
+++ b/internal/traffic/carrier/serve.go
@@ -156,7 +156,7 @@
 		q.attempts--
 		return len(q.query.Excluded) < maxUnsentAttempts
 	}
-	if q.attempts >= max(q.route.Attempts, 1) || c.cfg.Quarantine.IsSuspect(q.sharedBlocks) {
+	if q.attempts >= max(q.route.Attempts, 1) || c.cfg.Quarantine.IsSuspect(q.parts) {
 		return false
 	}
 	return c.cfg.Budget.TakeRetry(q.service.Name, time.Now())
--- a/internal/traffic/quarantiner/crash.go
+++ b/internal/traffic/quarantiner/crash.go
@@ -96,10 +96,10 @@
 	delete(q.crashes, k)
 }
 
-// addRequest adds a broken request to a crash and reports whether it did: not if the same is known, nor
-// beyond maxRequests if its answer had not begun.
+// addRequest adds a broken request to a crash and reports whether it did: not if the same is known, nor if the
+// crash has too many, unless requests with one of its blocks broke off in another crash as well.
 func (q *Quarantiner) addRequest(c *crash, r brokenRequest) bool {
-	if !r.began && len(c.requests) >= maxRequests {
+	if len(c.requests) >= r.maxInCrash() && !q.isInOtherCrash(c, r) && !q.wasLeftOut(c, r) {
 		return false
 	}
 	for i, known := range c.requests {
@@ -116,6 +116,48 @@
 	return true
 }
 
+// maxInCrash returns the number of requests of a crash from which on such a request is left out.
+func (r brokenRequest) maxInCrash() int {
+	if r.began {
+		return maxBegun
+	}
+	return maxWaiting
+}
+
+// isInOtherCrash reports whether an uncleared block of a broken request is known from another crash.
+func (q *Quarantiner) isInOtherCrash(c *crash, r brokenRequest) bool {
+	return slices.ContainsFunc(r.blocks, func(b string) bool {
+		others := q.crashCount(b)
+		if _, ok := c.scores[b]; ok {
+			others--
+		}
+		return others > 0
+	})
+}
+
+// leftOut says when a block of a request was left out of a crash.
+type leftOut struct {
+	crash *crash
+	at    time.Time
+}
+
+// wasLeftOut reports whether a block of a broken request was left out of an earlier crash, and records that it
+// is now where it was not.
+func (q *Quarantiner) wasLeftOut(c *crash, r brokenRequest) bool {
+	if slices.ContainsFunc(r.blocks, func(b string) bool {
+		l, ok := q.leftOut[b]
+		return ok && l.crash != c && !q.isCleared(b)
+	}) {
+		return true
+	}
+	for _, b := range r.blocks {
+		if len(q.leftOut) < maxLeftOut {
+			q.leftOut[b] = leftOut{c, q.cfg.Now()}
+		}
+	}
+	return false
+}
+
 // score returns how much a broken request counts against each of its blocks.
 func (r brokenRequest) score() float64 {
 	if r.began {
--- a/internal/traffic/quarantiner/quarantiner.go
+++ b/internal/traffic/quarantiner/quarantiner.go
@@ -1,9 +1,11 @@
-// Package quarantiner finds the prompt blocks under which engines crash, and keeps requests with such
-// blocks from further engines. Daemons exchange what they saw of crashes, so that the crashes at all
-// of them count, and each daemon draws its own conclusions.
+// Package quarantiner finds the prompt blocks, and the whole requests, under which endpoints crash, and keeps
+// requests with such blocks and repeats of such requests from further endpoints. A whole request counts as one
+// more block. Daemons exchange what they saw of crashes, so that the crashes at all of them count, and each
+// daemon draws its own conclusions.
 package quarantiner
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -49,12 +51,25 @@
 	// forgetPeriod is the time between two removals of old entries.
 	forgetPeriod = time.Second
 	// maxAnswered bounds the blocks whose last complete answer is remembered, maxShared the crashes,
-	// cleared blocks and quarantines in one status, and maxRequests the broken requests of a crash.
+	// cleared blocks and quarantines in one status. maxWaiting and maxBegun bound the broken requests of a
+	// crash whose answers had not begun, and had.
 	maxAnswered = 8192
 	maxShared   = 24
-	maxRequests = 6
+	maxWaiting  = 6
+	maxBegun    = 24
+	// maxLeftOut bounds the blocks that are remembered of requests beyond these.
+	maxLeftOut = 4096
+	// wholePrefix begins the block that stands for a whole request.
+	wholePrefix = "whole:"
 )
 
+// WholeRequest returns the block that stands for a whole request. key is the same for requests that are the
+// same.
+func WholeRequest(key string) string { return wholePrefix + key }
+
+// isWhole reports whether a block stands for a whole request.
+func isWhole(block string) bool { return strings.HasPrefix(block, wholePrefix) }
+
 // Config configures a Quarantiner.
 type Config struct {
 	// Announce is called when there is something new to tell the other daemons.
@@ -101,6 +116,8 @@
 	clearedBy map[string]int
 	// evidence holds what all crashes together count against each block, cleared or not.
 	evidence map[string]evidence
+	// leftOut holds the blocks of requests that were left out of a crash.
+	leftOut map[string]leftOut
 	// changed is set when anything changed that update depends on, other than the time.
 	changed bool
 	// forgotAt is when the oldest entries were last dropped.
@@ -118,7 +135,7 @@
 	}
 	q := &Quarantiner{
 		cfg: cfg, startedAt: cfg.Now(), crashes: make(map[crashKey]*crash), answered: make(map[string]time.Time),
-		cleared: make(map[string]clearedBlocks), clearedBy: make(map[string]int), evidence: make(map[string]evidence), former: make(map[string]Quarantine),
+		cleared: make(map[string]clearedBlocks), clearedBy: make(map[string]int), evidence: make(map[string]evidence), leftOut: make(map[string]leftOut), former: make(map[string]Quarantine),
 	}
 	q.active.Store(&[]Quarantine{})
 	return q
@@ -172,7 +189,8 @@
 	q.lastAnswer = now
 	for _, b := range blocks {
 		_, ok := q.answered[b]
-		if ok || len(q.answered) < maxAnswered {
+		// Most requests never come again, so that the answer to one counts only once it broke off.
+		if ok || q.evidence[b].crashes > 0 || !isWhole(b) && len(q.answered) < maxAnswered {
 			q.answered[b] = now
 		}
 		q.changed = q.changed || !ok && q.evidence[b].crashes > 0
@@ -205,11 +223,8 @@
 			q.dropCrash(k)
 		}
 	}
-	for b, at := range q.answered {
-		if now.Sub(at) > memory {
-			delete(q.answered, b)
-		}
-	}
+	maps.DeleteFunc(q.answered, func(_ string, at time.Time) bool { return now.Sub(at) > memory })
+	maps.DeleteFunc(q.leftOut, func(_ string, l leftOut) bool { return now.Sub(l.at) > memory })
 	for name, c := range q.cleared {
 		if now.Sub(c.at) > memory {
 			q.setCleared(name, nil)
--- a/internal/traffic/quarantiner/report.go
+++ b/internal/traffic/quarantiner/report.go
@@ -39,18 +39,22 @@
 	return out
 }
 
-// answeredSuspects returns the blocks of known crashes that this daemon had complete answers for.
+// answeredSuspects returns the blocks of known crashes that this daemon had complete answers for, first
+// those of several crashes. A whole request of one crash is left out: no other daemon judges it by that.
 func (q *Quarantiner) answeredSuspects() []string {
-	var out []string
-	for _, c := range q.crashes {
-		for _, r := range c.requests {
-			for _, b := range r.blocks {
-				if _, ok := q.answered[b]; ok && !slices.Contains(out, b) && len(out) < maxShared {
-					out = append(out, b)
-				}
-			}
+	var out, single []string
+	for b, e := range q.evidence {
+		_, ok := q.answered[b]
+		switch {
+		case !ok:
+		case e.crashes >= suspectCrashes:
+			out = append(out, b)
+		case !isWhole(b):
+			single = append(single, b)
 		}
 	}
+	out = append(out, single...)
+	out = out[:min(len(out), maxShared)]
 	slices.Sort(out)
 	return out
 }
