Share one interface of the quarantine between both data paths

Cause: carrier and relayer each declared the interface, its refusal and the test for a lost connection; plain services need them too. Change: quarantiner.Guard, NoGuard, Check and IsConnectionLost; the copies go.

--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -27,6 +27,7 @@
 	"pomelotiller/internal/traffic/chooser"
 	"pomelotiller/internal/traffic/dialer"
 	"pomelotiller/internal/traffic/limiter"
+	"pomelotiller/internal/traffic/quarantiner"
 	"pomelotiller/internal/traffic/refuser"
 )
 
@@ -52,17 +53,6 @@
 	RecordOutcome(o Outcome)
 }
 
-// Quarantine knows the prompt blocks and whole requests under which endpoints crash, and learns them from the
-// outcomes of attempts. All methods are given the parts of a request that others may have in common with it.
-type Quarantine interface {
-	// TimeLeft returns for how long requests with these parts are refused; 0 if they are not.
-	TimeLeft(parts []string) time.Duration
-	// IsSuspect reports whether such requests must not be retried at another endpoint.
-	IsSuspect(parts []string) bool
-	RecordBreak(endpoint string, born int64, parts []string, began bool)
-	RecordAnswer(parts []string)
-}
-
 // Config configures a Carrier.
 type Config struct {
 	Codec Codec
@@ -78,7 +68,8 @@
 	Usage       Usage
 	Demand      Demand
 	Trials      Trials
-	Quarantine  Quarantine
+	// Quarantine knows the prompt blocks and whole requests under which endpoints crash.
+	Quarantine quarantiner.Guard
 	// Limits learns the request limits that endpoints name; nil means that they are not read.
 	Limits Limits
 	// Members returns the number of daemons in the fleet. They share the connection
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -19,6 +19,7 @@
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/observe/tracer"
 	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/traffic/quarantiner"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/router"
 )
@@ -85,7 +86,7 @@
 	// Outcomes receives the outcomes of attempts; nil disables reporting.
 	Outcomes Outcomes
 	// Quarantine refuses the prompts under which engines crash; nil refuses none.
-	Quarantine Quarantine
+	Quarantine quarantiner.Guard
 }
 
 // Relayer streams completions from engines to callers. Its methods are safe for
@@ -115,7 +116,7 @@
 		cfg.FreshHTTP = inferrer.NewUnpooledHTTP()
 	}
 	if cfg.Quarantine == nil {
-		cfg.Quarantine = noQuarantine{}
+		cfg.Quarantine = quarantiner.NoGuard{}
 	}
 	return &Relayer{cfg: cfg, transferSlots: make(chan struct{}, maxTransfers), inFlight: make(map[string]map[*inFlightAttempt]struct{})}
 }
