Refuse repeated calls and orders under which plain services crash

What callers saw: on the own interface, one idempotent call could take down four services, and its repeats all of them. Change: the runner checks the quarantine before it connects, and tells it how attempts end. An endpoint has crashed if the connection is lost and a new one is refused. Two may crash under one call. An order that ran under its key is still told as such, since its record is read first.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -168,8 +168,8 @@
 	s := d.settings
 	rt := d.newRouter()
 	d.admitter = admitter.New()
-	rec := d.buildOrders(store, owner, rt)
 	d.quarantiner = d.newQuarantiner()
+	rec := d.buildOrders(store, owner, rt)
 	d.relayer = relayer.New(relayer.Config{
 		View: d.viewHolder.Load, Router: rt, Domain: s.Domain, HTTP: inferrer.NewHTTP(), Tracer: d.tracer, Registry: d.registry,
 		OnLeaving: d.handleLeavingRefusal, AllowRetry: d.admitter.RetryBudget.TryWithdraw, Outcomes: d.moveComponents.follower,
--- a/internal/traffic/listener/service.go
+++ b/internal/traffic/listener/service.go
@@ -64,7 +64,7 @@
 		ctx, cancel = context.WithTimeout(ctx, c.preferences.waitLimit)
 		defer cancel()
 	}
-	a, err := l.cfg.Runner.SendIdempotent(ctx, c.route, c.request)
+	a, err := l.cfg.Runner.SendIdempotent(ctx, c.organisation.Name, c.route, c.request)
 	if err != nil {
 		refuser.Write(w, err)
 		return
--- a/internal/traffic/recorder/call.go
+++ b/internal/traffic/recorder/call.go
@@ -14,13 +14,13 @@
 // maxCallAttempts is the maximum number of attempts for one idempotent call.
 const maxCallAttempts = 4
 
-// SendIdempotent sends an idempotent request without recording it. A failed attempt is retried,
-// preferably at an endpoint that has not failed yet.
-func (r *Runner) SendIdempotent(ctx context.Context, route loader.Route, req Request) (Answer, error) {
+// SendIdempotent sends an organisation's idempotent request without recording it. A failed attempt is
+// retried, preferably at an endpoint that has not failed yet.
+func (r *Runner) SendIdempotent(ctx context.Context, organisation string, route loader.Route, req Request) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, routeTimeout(route))
 	defer cancel()
-	o := Order{ID: uuid.NewString(), Route: route.Name, Request: req}
-	run := refuser.NotRun
+	o := Order{ID: uuid.NewString(), Organisation: organisation, Route: route.Name, Request: req}
+	run, crashes := refuser.NotRun, 0
 	exclude := make(map[string]bool)
 	var last error
 	for o.Attempt = 1; o.Attempt <= maxCallAttempts && ctx.Err() == nil; o.Attempt++ {
@@ -31,6 +31,9 @@
 		}
 		o.Endpoint = l.choice.Endpoint.Name
 		a, err := r.sendAttempt(ctx, l.sender, o)
+		if r.recordAttempt(ctx, o, l.choice, err) {
+			crashes++
+		}
 		l.close()
 		if err == nil && !a.Omitted {
 			return a, nil
@@ -44,6 +47,13 @@
 		}
 		last = err
 		exclude[o.Endpoint] = true
+		if crashes >= maxCallCrashes {
+			break
+		}
+	}
+	var quarantined *refuser.Refusal
+	if errors.As(last, &quarantined) {
+		return Answer{}, &refuser.Refusal{Status: quarantined.Status, Title: quarantined.Title, Detail: quarantined.Detail, Run: run, RetryAfter: quarantined.RetryAfter, Err: last}
 	}
 	refusal := &refuser.Refusal{
 		Status: http.StatusServiceUnavailable, Title: "unavailable", Run: run, Err: last,
--- a/internal/traffic/recorder/dispatch.go
+++ b/internal/traffic/recorder/dispatch.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"pomelotiller/internal/observe/meter"
+	"pomelotiller/internal/traffic/quarantiner"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/router"
 )
@@ -41,7 +42,7 @@
 }
 
 // connectToEndpoint chooses an endpoint and connects to it, trying up to maxConnectAttempts endpoints.
-// It sends nothing of the order.
+// It sends nothing of the order. The error is a *refuser.Refusal if services crash under the request.
 func (r *Runner) connectToEndpoint(ctx context.Context, o Order, exclude map[string]bool) connectResult {
 	ctx, span := r.cfg.Tracer.Start(ctx, "route")
 	defer span.End()
@@ -50,6 +51,9 @@
 	if !ok {
 		return connectResult{err: fmt.Errorf("route %q no longer exists", o.Route)}
 	}
+	if err := quarantiner.Check(r.cfg.Quarantine, o.parts()); err != nil {
+		return connectResult{err: err}
+	}
 	q := router.Query{Request: o.ID, Route: route, Domain: r.cfg.Domain, Exclude: maps.Clone(exclude)}
 	if q.Exclude == nil {
 		q.Exclude = make(map[string]bool)
@@ -98,6 +102,7 @@
 	route, _ := r.cfg.View().Set.Route(o.Route)
 	sendCtx, cancel := context.WithTimeout(ctx, routeTimeout(route))
 	answer, err := r.sendAttempt(sendCtx, l.sender, o)
+	r.recordAttempt(sendCtx, o, l.choice, err)
 	cancel()
 	var sendErr *SendError
 	switch {
--- a/internal/traffic/recorder/refusals.go
+++ b/internal/traffic/recorder/refusals.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 
@@ -30,8 +31,13 @@
 	}
 }
 
-// unavailableRefusal returns the refusal of an order for which no endpoint is available.
+// unavailableRefusal returns the refusal of an order for which no endpoint is available, or cause if it is a
+// refusal itself.
 func (r *Runner) unavailableRefusal(o Order, cause error) error {
+	var refusal *refuser.Refusal
+	if errors.As(cause, &refusal) {
+		return refusal
+	}
 	return &refuser.Refusal{
 		Status: http.StatusServiceUnavailable, Title: "unavailable", Run: refuser.NotRun, Err: cause,
 		RetryAfter: r.routeOutage(o.Route).RetryAfter(r.now()), Detail: "no service could take the order",
--- a/internal/traffic/recorder/runner.go
+++ b/internal/traffic/recorder/runner.go
@@ -18,6 +18,7 @@
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/observe/tracer"
 	"pomelotiller/internal/remote/storer"
+	"pomelotiller/internal/traffic/quarantiner"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/router"
 )
@@ -55,6 +56,8 @@
 	Peers Peers
 	// Services sends orders to endpoints. It defaults to HTTPServices.
 	Services Services
+	// Quarantine refuses the requests under which services crash; nil refuses none.
+	Quarantine quarantiner.Guard
 	// Tracer starts a span for each store write and each attempt.
 	Tracer tracer.Tracer
 	// Logger receives a warning for each order whose outcome stays unknown.
@@ -101,6 +104,9 @@
 	if cfg.Services == nil {
 		cfg.Services = HTTPServices{}
 	}
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = quarantiner.NoGuard{}
+	}
 	r := &Runner{
 		cfg: cfg, ctx: ctx, journal: newJournal(ctx, cfg.Recorder.cfg.Store, cfg.Recorder.cfg.Owner),
 		drainStarted: make(chan struct{}), jobs: make(map[string]*job), recentOrders: make(map[string]time.Time),
