--- a/internal/traffic/quarantiner/report.go
+++ b/internal/traffic/quarantiner/report.go
@@ -1,6 +1,8 @@
 package quarantiner
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -13,8 +15,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var out sharer.Suspicions
-	for k, c := range q.crashes {
-		if e := c.encodeOwn(k); len(e.Requests) > 0 && len(out.Crashes) < maxShared {
+	for _, k := range q.latestCrashes() {
+		if e := q.crashes[k].encodeOwn(k); len(e.Requests) > 0 && len(out.Crashes) < maxShared {
 			out.Crashes = append(out.Crashes, e)
 		}
 	}
@@ -28,6 +30,13 @@
 	return out
 }
 
+// latestCrashes returns the keys of all crashes, the latest ones first.
+func (q *Quarantiner) latestCrashes() []crashKey {
+	return slices.SortedFunc(maps.Keys(q.crashes), func(a, b crashKey) int {
+		return cmp.Or(q.crashes[b].at.Compare(q.crashes[a].at), strings.Compare(a.endpoint, b.endpoint), cmp.Compare(a.born, b.born))
+	})
+}
+
 // encodeOwn returns a crash with the requests of this daemon that broke off.
 func (c *crash) encodeOwn(k crashKey) sharer.Crash {
 	out := sharer.Crash{Endpoint: k.endpoint, Born: k.born}
@@ -53,6 +62,8 @@
 			single = append(single, b)
 		}
 	}
+	slices.Sort(out)
+	slices.Sort(single)
 	out = append(out, single...)
 	out = out[:min(len(out), maxShared)]
 	slices.Sort(out)
