Move the form of a request limit to the throttler

Cause: the own interface reads limits too; the codec's types stood in the carrier, and chooser and carrier declared the interfaces of the throttler.

--- a/internal/traffic/carrier/account.go
+++ b/internal/traffic/carrier/account.go
@@ -11,6 +11,7 @@
 	"pomelotiller/internal/observe/logger"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/traffic/chooser"
+	"pomelotiller/internal/traffic/throttler"
 )
 
 // recordRequest updates the metrics of a finished request and writes its log line.
@@ -105,7 +106,7 @@
 	if a.res != nil {
 		fields = append(fields, "status", a.res.StatusCode, "framing", framing(a.res))
 	}
-	if a.verdict.Limit.State != LimitAbsent {
+	if a.verdict.Limit.State != throttler.StateAbsent {
 		fields = append(fields, "limit", a.verdict.Limit.String())
 	}
 	if a.from != "" {
--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -29,6 +29,7 @@
 	"pomelotiller/internal/traffic/limiter"
 	"pomelotiller/internal/traffic/quarantiner"
 	"pomelotiller/internal/traffic/refuser"
+	"pomelotiller/internal/traffic/throttler"
 )
 
 // Usage counts the requests that began to run, by organisation.
@@ -71,7 +72,7 @@
 	// Quarantine knows the prompt blocks and whole requests under which endpoints crash.
 	Quarantine quarantiner.Guard
 	// Limits learns the request limits that endpoints name; nil means that they are not read.
-	Limits Limits
+	Limits throttler.Observer
 	// Members returns the number of daemons in the fleet. They share the connection
 	// limit of each endpoint equally.
 	Members func() int
@@ -98,7 +99,7 @@
 // New returns a carrier.
 func New(cfg Config) *Carrier {
 	if cfg.Limits == nil {
-		cfg.Limits = noLimits{}
+		cfg.Limits = throttler.NoLimits{}
 	}
 	c := &Carrier{cfg: cfg}
 	c.ending, c.endRequests = context.WithCancel(context.Background())
--- a/internal/traffic/carrier/codec.go
+++ b/internal/traffic/carrier/codec.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pomelotiller/internal/traffic/chooser"
+	"pomelotiller/internal/traffic/throttler"
 )
 
 // Call holds what a Codec reads from the header of a caller's request.
@@ -60,7 +61,7 @@
 	// Idle is how long the endpoint keeps an idle connection; 0 if unstated.
 	Idle time.Duration
 	// Limit is what the endpoint says of the requests that it takes from all daemons.
-	Limit RequestLimit
+	Limit throttler.Limit
 }
 
 // Codec reads and writes the header fields that callers and endpoints use.
--- a/internal/traffic/chooser/chooser.go
+++ b/internal/traffic/chooser/chooser.go
@@ -11,6 +11,7 @@
 	"pomelotiller/internal/config/switcher"
 	"pomelotiller/internal/fleet/sharer"
 	"pomelotiller/internal/fleet/tracker"
+	"pomelotiller/internal/traffic/throttler"
 )
 
 // PromptBlock is a run of prompt tokens that other requests may share.
@@ -45,7 +46,7 @@
 	// Policies switch the criteria of the choice on and off.
 	Policies switcher.Policies
 	// Limits are the request limits that endpoints name; nil means that there are none.
-	Limits Limits
+	Limits throttler.Gate
 	Now    func() time.Time
 }
 
@@ -106,7 +107,7 @@
 		cfg.Now = time.Now
 	}
 	if cfg.Limits == nil {
-		cfg.Limits = noLimits{}
+		cfg.Limits = throttler.NoLimits{}
 	}
 	if cfg.IsLargeFleet == nil {
 		cfg.IsLargeFleet = func() bool { return false }
