Keep to request limits on the own interface as well

What callers saw: nothing; an engine or plain service of the own interface could not say what it takes from all daemons together. Change: answers may name X-Request-Limit. The router leaves endpoints out that are at their limit, relayer and recorder learn limits from answers, and daemons gossip them by endpoint. If all endpoints are limited, requests are refused at once with the time until one takes another; an answer that has begun waits for that. Evidence: TestEngineLimitIsKept and TestServiceLimitIsKept; without the limits in the router the first fails with 20 requests in 4 s at an engine of 2 a second (9 allowed), and none refused. TestLimitIsPassedOn, TestSenderAddresses.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -37,6 +37,7 @@
 	"pomelotiller/internal/traffic/recorder"
 	"pomelotiller/internal/traffic/relayer"
 	"pomelotiller/internal/traffic/router"
+	"pomelotiller/internal/traffic/throttler"
 )
 
 const (
@@ -80,6 +81,7 @@
 	cacheEventClient *http.Client
 	admitter         *admitter.Admitter
 	quarantiner      *quarantiner.Quarantiner
+	throttler        *throttler.Throttler
 	relayer          *relayer.Relayer
 	listener         *listener.Listener
 	orderRunner      *recorder.Runner
@@ -166,6 +168,7 @@
 // buildTraffic builds the components that process requests and the handler of operators' requests.
 func (d *Daemon) buildTraffic(store storer.Store, owner string) {
 	s := d.settings
+	d.throttler = d.newThrottler()
 	rt := d.newRouter()
 	d.admitter = admitter.New()
 	d.quarantiner = d.newQuarantiner()
@@ -173,7 +176,7 @@
 	d.relayer = relayer.New(relayer.Config{
 		View: d.viewHolder.Load, Router: rt, Domain: s.Domain, HTTP: inferrer.NewHTTP(), Tracer: d.tracer, Registry: d.registry,
 		OnLeaving: d.handleLeavingRefusal, AllowRetry: d.admitter.RetryBudget.TryWithdraw, Outcomes: d.moveComponents.follower,
-		Quarantine: d.quarantiner,
+		Quarantine: d.quarantiner, Limits: d.throttler,
 	})
 	d.listener = listener.New(listener.Config{
 		View: d.viewHolder.Load, Admitter: d.admitter, Recorder: rec, Tracer: d.tracer, Registry: d.registry,
@@ -233,7 +236,7 @@
 	for _, f := range append([]func(context.Context) error{
 		d.messenger.Run, d.gossiper.Run, d.control.Run, d.control.RunHosts,
 		d.releaseWatcher.WatchStore, d.releaseWatcher.PullFromPeers, d.prober.Run, d.serveOperators, d.orderRunner.Run, d.publishUsages,
-		d.publishLoadReports, d.readCacheEvents, d.runQuarantine,
+		d.publishLoadReports, d.readCacheEvents, d.runQuarantine, d.publishRequestLimits,
 	}, d.moveComponents.runFuncs()...) {
 		g.Go(func() error {
 			defer endServing()
--- a/internal/daemon/assembler/routing.go
+++ b/internal/daemon/assembler/routing.go
@@ -62,7 +62,7 @@
 
 // newRouter returns the router and subscribes it to the load reports of other daemons.
 func (d *Daemon) newRouter() *router.Router {
-	d.router = router.New(router.Config{Policy: d.routingPolicy})
+	d.router = router.New(router.Config{Policy: d.routingPolicy, Limits: d.throttler})
 	d.gossiper.Subscribe(loadReportTopic, func(i gossiper.Item) {
 		if i.Key == d.settings.Name {
 			return
--- a/internal/fleet/sharer/exchange.go
+++ b/internal/fleet/sharer/exchange.go
@@ -188,5 +188,5 @@
 	}
 	return a.Boot == b.Boot && a.Address == b.Address && a.Stopping == b.Stopping && a.StoreUnreachable == b.StoreUnreachable && a.Hub == b.Hub &&
 		len(a.Trials) == 0 && len(a.Moves) == 0 && len(a.StoreAnswerAges) == 0 && maps.Equal(a.Revisions, b.Revisions) && a.Suspicions.hasSameCrashes(b.Suspicions) &&
-		slices.EqualFunc(a.RequestLimits, b.RequestLimits, isSameLimit)
+		slices.EqualFunc(a.RequestLimits, b.RequestLimits, IsSameLimit)
 }
--- a/internal/fleet/sharer/status.go
+++ b/internal/fleet/sharer/status.go
@@ -149,8 +149,8 @@
 	Age int64 `cbor:"5,keyasint,omitempty"`
 }
 
-// isSameLimit reports whether two reports differ in no more than the age.
-func isSameLimit(a, b RequestLimit) bool {
+// IsSameLimit reports whether two reports differ in no more than the age.
+func IsSameLimit(a, b RequestLimit) bool {
 	a.Age, b.Age = 0, 0
 	return a == b
 }
--- a/internal/fleet/sharer/validate.go
+++ b/internal/fleet/sharer/validate.go
@@ -66,13 +66,21 @@
 
 func validateLimits(limits []RequestLimit) error {
 	for _, l := range limits {
-		if !(l.PerSecond >= 0) || math.IsInf(l.PerSecond, 0) || l.Age < 0 || l.Age > maxCount {
-			return fmt.Errorf("request limit of endpoint %q out of range: %w", l.Endpoint, errMalformed)
+		if err := l.Validate(); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// Validate returns an error if a number of the limit is out of range.
+func (l RequestLimit) Validate() error {
+	if !(l.PerSecond >= 0) || math.IsInf(l.PerSecond, 0) || l.Age < 0 || l.Age > maxCount {
+		return fmt.Errorf("request limit of endpoint %q out of range: %w", l.Endpoint, errMalformed)
+	}
+	return nil
+}
+
 func validateLeft(left []RemainingAllowance) error {
 	for _, l := range left {
 		if math.IsNaN(l.Level) || math.Abs(l.Level) > maxTotal {
--- a/internal/remote/inferrer/client.go
+++ b/internal/remote/inferrer/client.go
@@ -43,6 +43,8 @@
 	HTTP *http.Client
 	// FreshHTTP is the HTTP client for attempts that ask for a new connection; nil uses HTTP.
 	FreshHTTP *http.Client
+	// OnAnswer, if set, is called with the header of each answer to an attempt.
+	OnAnswer func(res *http.Response)
 }
 
 // Client is an Engine over HTTP.
@@ -107,6 +109,9 @@
 		}
 		return nil, err
 	}
+	if c.cfg.OnAnswer != nil {
+		c.cfg.OnAnswer(res)
+	}
 	if err := checkResponse(res, a); err != nil {
 		res.Body.Close()
 		cancel()
--- a/internal/remote/inferrer/inferrer.go
+++ b/internal/remote/inferrer/inferrer.go
@@ -18,6 +18,9 @@
 	HeaderAttempt = "X-Attempt"
 	// HeaderPriority holds the priority class of a request: "high", "normal" or "low".
 	HeaderPriority = "X-Priority"
+	// HeaderLimit, in an answer, is the number of requests a second that the endpoint takes from all daemons
+	// together, for as long as its answers name it.
+	HeaderLimit = "X-Request-Limit"
 )
 
 // Paths of the completion calls.
--- a/internal/traffic/carrier/limit.go
+++ b/internal/traffic/carrier/limit.go
@@ -1,20 +1,13 @@
 package carrier
 
-import (
-	"net/http"
+import "pomelotiller/internal/traffic/throttler"
 
-	"pomelotiller/internal/traffic/throttler"
-)
-
-// recordLimit records what the header of an answer says of the endpoint's limit. A refusal or a failure
-// without a limit does not end it: only an answer that is the endpoint's own and whole does.
+// recordLimit records what the header of an answer says of the endpoint's limit, unless it comes from another
+// endpoint at the address.
 func (a *answer) recordLimit() {
 	e, v := a.choice.Endpoint, a.verdict
-	switch {
-	case v.Misdirected:
-	case v.Limit.State == throttler.StateNamed:
-		a.c.cfg.Limits.RecordLimit(e.ID, e.Born, v.Limit.PerSecond)
-	case v.Limit.State == throttler.StateAbsent && !v.NotRun && a.res.StatusCode < http.StatusInternalServerError:
-		a.c.cfg.Limits.RecordNoLimit(e.ID, e.Born, a.sentAt)
+	if v.Misdirected || v.NotRun && v.Limit.State == throttler.StateAbsent {
+		return
 	}
+	throttler.Observe(a.c.cfg.Limits, e.ID, e.Born, v.Limit, a.res.StatusCode, a.sentAt)
 }
--- a/internal/traffic/recorder/call.go
+++ b/internal/traffic/recorder/call.go
@@ -30,7 +30,7 @@
 			break
 		}
 		o.Endpoint = l.choice.Endpoint.Name
-		a, err := r.sendAttempt(ctx, l.sender, o)
+		a, err := r.sendAttempt(ctx, l, o)
 		if r.recordAttempt(ctx, o, l.choice, err) {
 			crashes++
 		}
@@ -55,9 +55,8 @@
 	if errors.As(last, &quarantined) {
 		return Answer{}, &refuser.Refusal{Status: quarantined.Status, Title: quarantined.Title, Detail: quarantined.Detail, Run: run, RetryAfter: quarantined.RetryAfter, Err: last}
 	}
-	refusal := &refuser.Refusal{
+	return Answer{}, &refuser.Refusal{
 		Status: http.StatusServiceUnavailable, Title: "unavailable", Run: run, Err: last,
-		RetryAfter: r.routeOutage(route.Name).RetryAfter(r.now()), Detail: "no service could answer the call",
+		RetryAfter: r.retryAfter(route.Name, last), Detail: "no service could answer the call",
 	}
-	return Answer{}, refusal
 }
--- a/internal/traffic/recorder/dispatch.go
+++ b/internal/traffic/recorder/dispatch.go
@@ -17,6 +17,7 @@
 	"pomelotiller/internal/traffic/quarantiner"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/router"
+	"pomelotiller/internal/traffic/throttler"
 )
 
 const (
@@ -62,6 +63,10 @@
 	var last error
 	for range maxConnectAttempts {
 		choice, err := r.cfg.Router.Choose(v, q)
+		var limited *router.LimitedError
+		if errors.As(err, &limited) {
+			return connectResult{err: err}
+		}
 		if err != nil {
 			last = errors.Join(last, err)
 			break
@@ -101,7 +106,7 @@
 	}
 	route, _ := r.cfg.View().Set.Route(o.Route)
 	sendCtx, cancel := context.WithTimeout(ctx, routeTimeout(route))
-	answer, err := r.sendAttempt(sendCtx, l.sender, o)
+	answer, err := r.sendAttempt(sendCtx, l, o)
 	r.recordAttempt(sendCtx, o, l.choice, err)
 	cancel()
 	var sendErr *SendError
@@ -115,17 +120,20 @@
 	}
 }
 
-func (r *Runner) sendAttempt(ctx context.Context, s Sender, o Order) (Answer, error) {
+func (r *Runner) sendAttempt(ctx context.Context, l connectResult, o Order) (Answer, error) {
 	ctx, span := r.cfg.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("endpoint", o.Endpoint), attribute.Int("attempt", o.Attempt)))
 	defer span.End()
 	header := make(http.Header)
 	r.cfg.Tracer.Propagation.Inject(ctx, propagation.HeaderCarrier(header))
-	a, err := s.Send(ctx, o, header)
+	sentAt := time.Now()
+	a, err := l.sender.Send(ctx, o, header)
 	if err != nil {
 		span.RecordError(err)
+		return a, err
 	}
-	return a, err
+	throttler.Observe(r.cfg.Limits, router.LimitKey(l.choice.Endpoint), 0, a.Limit, a.Status, sentAt)
+	return a, nil
 }
 
 // undoDispatch reverts the dispatch of an order of which this daemon has sent no byte: an
--- a/internal/traffic/recorder/order.go
+++ b/internal/traffic/recorder/order.go
@@ -10,6 +10,7 @@
 	"github.com/qmuntal/stateless"
 
 	"pomelotiller/internal/traffic/refuser"
+	"pomelotiller/internal/traffic/throttler"
 )
 
 // State is the state of an order.
@@ -62,6 +63,8 @@
 	Body        []byte `json:"body,omitempty"`
 	// Omitted reports that the body was too large to be recorded.
 	Omitted bool `json:"omitted,omitempty"`
+	// Limit is what the answer says of the endpoint's request limit.
+	Limit throttler.Limit `json:"-"`
 }
 
 // Order is the record of one order. It is immutable: transition and withRequest return changed
--- a/internal/traffic/recorder/refusals.go
+++ b/internal/traffic/recorder/refusals.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"pomelotiller/internal/traffic/refuser"
+	"pomelotiller/internal/traffic/router"
 )
 
 // storeRefusal returns the refusal of an order that could not be recorded. This daemon has not sent
@@ -40,10 +42,20 @@
 	}
 	return &refuser.Refusal{
 		Status: http.StatusServiceUnavailable, Title: "unavailable", Run: refuser.NotRun, Err: cause,
-		RetryAfter: r.routeOutage(o.Route).RetryAfter(r.now()), Detail: "no service could take the order",
+		RetryAfter: r.retryAfter(o.Route, cause), Detail: "no service could take the order",
 	}
 }
 
+// retryAfter returns when a request may be sent again that no endpoint of a route took: once one takes another
+// request if all are at their limits, else by how long none could be reached.
+func (r *Runner) retryAfter(route string, cause error) time.Duration {
+	var limited *router.LimitedError
+	if errors.As(cause, &limited) {
+		return limited.Wait
+	}
+	return r.routeOutage(route).RetryAfter(r.now())
+}
+
 // unresolvedRefusal returns the refusal of an order whose first write has an unknown result, so
 // that the order may have been recorded.
 func (r *Runner) unresolvedRefusal(o Order, cause error) error {
--- a/internal/traffic/recorder/runner.go
+++ b/internal/traffic/recorder/runner.go
@@ -21,6 +21,7 @@
 	"pomelotiller/internal/traffic/quarantiner"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/router"
+	"pomelotiller/internal/traffic/throttler"
 )
 
 const (
@@ -56,6 +57,8 @@
 	Peers Peers
 	// Services sends orders to endpoints. It defaults to HTTPServices.
 	Services Services
+	// Limits learns the request limits that services name; nil learns none.
+	Limits throttler.Observer
 	// Quarantine refuses the requests under which services crash; nil refuses none.
 	Quarantine quarantiner.Guard
 	// Tracer starts a span for each store write and each attempt.
@@ -104,6 +107,9 @@
 	if cfg.Services == nil {
 		cfg.Services = HTTPServices{}
 	}
+	if cfg.Limits == nil {
+		cfg.Limits = throttler.NoLimits{}
+	}
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantiner.NoGuard{}
 	}
--- a/internal/traffic/recorder/sender.go
+++ b/internal/traffic/recorder/sender.go
@@ -15,6 +15,7 @@
 
 	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/refuser"
+	"pomelotiller/internal/traffic/throttler"
 )
 
 const (
@@ -187,8 +188,9 @@
 	if res.Header.Get(inferrer.HeaderRequest) != o.ID || res.Header.Get(inferrer.HeaderAttempt) != strconv.Itoa(o.Attempt) {
 		return Answer{}, &SendError{RunState: refuser.Unknown, Err: inferrer.ErrForeignAnswer}
 	}
+	limit := throttler.ParseLimit(res.Header[inferrer.HeaderLimit])
 	if len(b) > maxAnswerBytes {
-		return Answer{Status: res.StatusCode, Omitted: true}, nil
+		return Answer{Status: res.StatusCode, Omitted: true, Limit: limit}, nil
 	}
-	return Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: b}, nil
+	return Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: b, Limit: limit}, nil
 }
--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -17,6 +18,7 @@
 	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/router"
+	"pomelotiller/internal/traffic/throttler"
 )
 
 const (
@@ -35,7 +37,14 @@
 	if err := awaitCancel(ctx, p.cancelsDone[c.Endpoint.Name]); err != nil {
 		return err
 	}
-	engine := inferrer.NewClient(inferrer.ClientConfig{Address: c.Endpoint.Address, HTTP: r.cfg.HTTP, FreshHTTP: r.cfg.FreshHTTP})
+	sentAt := time.Now()
+	engine := inferrer.NewClient(inferrer.ClientConfig{
+		Address: c.Endpoint.Address, HTTP: r.cfg.HTTP, FreshHTTP: r.cfg.FreshHTTP,
+		OnAnswer: func(res *http.Response) {
+			limit := throttler.ParseLimit(res.Header[inferrer.HeaderLimit])
+			throttler.Observe(r.cfg.Limits, router.LimitKey(c.Endpoint), 0, limit, res.StatusCode, sentAt)
+		},
+	})
 	err := r.relayAnswer(ctx, engine, job, p, c, n, sink)
 	if err == nil {
 		return nil
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -22,6 +22,7 @@
 	"pomelotiller/internal/traffic/quarantiner"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/router"
+	"pomelotiller/internal/traffic/throttler"
 )
 
 const (
@@ -85,6 +86,8 @@
 	ResumeTimeout time.Duration
 	// Outcomes receives the outcomes of attempts; nil disables reporting.
 	Outcomes Outcomes
+	// Limits learns the request limits that engines name; nil learns none.
+	Limits throttler.Observer
 	// Quarantine refuses the prompts under which engines crash; nil refuses none.
 	Quarantine quarantiner.Guard
 }
@@ -115,6 +118,9 @@
 	if cfg.FreshHTTP == nil {
 		cfg.FreshHTTP = inferrer.NewUnpooledHTTP()
 	}
+	if cfg.Limits == nil {
+		cfg.Limits = throttler.NoLimits{}
+	}
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantiner.NoGuard{}
 	}
@@ -356,9 +362,13 @@
 		RetryAfter: r.outageTracker.recordOutage(p.version),
 		Detail:     fmt.Sprintf("no endpoint could answer for route %q", job.Route.Name),
 	}
-	if errors.Is(err, inferrer.ErrOverloaded) {
+	var limited *router.LimitedError
+	if isLimited := errors.As(err, &limited); isLimited || errors.Is(err, inferrer.ErrOverloaded) {
 		refusal.Title = "overloaded"
 		refusal.RetryAfter = r.outageTracker.queueWait(r.cfg.View(), p.version)
+		if isLimited {
+			refusal.RetryAfter = limited.Wait
+		}
 		refusal.Detail = fmt.Sprintf("all endpoints of route %q are at their limit", job.Route.Name)
 	}
 	meter.AddToCounter(r.cfg.Registry, 1, "completions_refused_total", "route", job.Route.Name, "title", refusal.Title)
--- a/internal/traffic/router/router.go
+++ b/internal/traffic/router/router.go
@@ -15,6 +15,7 @@
 	"pomelotiller/internal/config/loader"
 	"pomelotiller/internal/fleet/viewer"
 	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/traffic/throttler"
 )
 
 // Errors that Choose returns.
@@ -23,6 +24,25 @@
 	ErrNoVersion  = errors.New("route has no version with a share")
 )
 
+// LimitedError is the error of Choose if all endpoints that serve the version are at the request limits that
+// they name.
+type LimitedError struct {
+	// Wait is the time until one of them takes another request.
+	Wait time.Duration
+}
+
+// Error implements error.
+func (e *LimitedError) Error() string {
+	return fmt.Sprintf("all endpoints are at their limits for %s", e.Wait)
+}
+
+// Unwrap returns ErrNoEndpoint, since no endpoint can be chosen now.
+func (e *LimitedError) Unwrap() error { return ErrNoEndpoint }
+
+// LimitKey returns the id by which the request limit of an endpoint is known. A host that replaces another one
+// of the same name has another address.
+func LimitKey(e viewer.Endpoint) string { return e.Name + "@" + e.Address }
+
 // Query describes the attempt that needs an endpoint.
 type Query struct {
 	// Request is the id of the request; its hash picks the version.
@@ -90,6 +110,8 @@
 	Policy Policy[Query, Candidate]
 	// Now returns the time; nil is time.Now.
 	Now func() time.Time
+	// Limits keeps requests to endpoints back that name a request limit; nil keeps none back.
+	Limits throttler.Gate
 	// CountCachedBlocks, if set, returns the number of leading blocks that an endpoint really
 	// caches. It replaces the index in measurements, as an upper bound for policies.
 	CountCachedBlocks func(endpoint string, hashes []uint64) int
@@ -116,6 +138,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Limits == nil {
+		cfg.Limits = throttler.NoLimits{}
+	}
 	return &Router{
 		cfg: cfg, ownLoads: make(map[string]endpointLoad), peerLoads: newPeerLoadTable(),
 		prefixIndex: newPrefixIndex(maxIndexEntries), tokenRates: newTokenRates(),
@@ -136,16 +161,23 @@
 	now := r.cfg.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	candidates := r.collectCandidates(v, &q, now)
+	candidates, wait := r.collectCandidates(v, &q, now)
+	if len(candidates) == 0 && wait > 0 {
+		return Choice{}, fmt.Errorf("route %q, version %q: %w", q.Route.Name, q.Version, &LimitedError{Wait: wait})
+	}
 	if len(candidates) == 0 {
 		return Choice{}, fmt.Errorf("route %q, version %q: %w", q.Route.Name, q.Version, ErrNoEndpoint)
 	}
-	return r.recordChoice(q, candidates[r.cfg.Policy.Pick(q, candidates)], now), nil
+	c := candidates[r.cfg.Policy.Pick(q, candidates)]
+	r.cfg.Limits.Take(LimitKey(c.Endpoint), 0)
+	return r.recordChoice(q, c, now), nil
 }
 
-// collectCandidates returns the endpoints that serve the version, and sets the prefix lengths
-// of q. The result is valid while the caller holds the lock.
-func (r *Router) collectCandidates(v viewer.View, q *Query, now time.Time) []Candidate {
+// collectCandidates returns the endpoints that serve the version, without those at their request limit, and
+// the shortest wait for one of these; 0 if there is none. It sets the prefix lengths of q. The result is
+// valid while the caller holds the lock.
+func (r *Router) collectCandidates(v viewer.View, q *Query, now time.Time) ([]Candidate, time.Duration) {
+	var shortest time.Duration
 	cachedPrefixes, sharedPrefixBlocks := r.prefixIndex.cachedPrefixes(q.blockHashes)
 	q.sharedPrefixBlocks = sharedPrefixBlocks
 	mean := r.tokenRates.mean()
@@ -155,6 +187,12 @@
 		if !canServe || q.Exclude[e.Name] {
 			continue
 		}
+		if wait := r.cfg.Limits.Wait(LimitKey(e), 0); wait > 0 {
+			if shortest == 0 || wait < shortest {
+				shortest = wait
+			}
+			continue
+		}
 		own := r.ownLoads[e.Name]
 		known := own.add(r.peerLoads.totals[e.Name])
 		c := Candidate{
@@ -170,7 +208,7 @@
 		q.knownCachedBlocks = max(q.knownCachedBlocks, c.CachedBlocks)
 		r.candidateBuffer = append(r.candidateBuffer, c)
 	}
-	return r.candidateBuffer
+	return r.candidateBuffer, shortest
 }
 
 // reportDecayTime is the time in which the weight of a load report falls to 1/e.
--- a/internal/traffic/throttler/limit.go
+++ b/internal/traffic/throttler/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -75,6 +76,17 @@
 	RecordNoLimit(endpoint string, born int64, sentAt time.Time)
 }
 
+// Observe tells an observer what an answer with a status says of its endpoint's limit; sentAt is when its
+// request was sent. A failure or a refusal without a limit does not end it.
+func Observe(o Observer, endpoint string, born int64, l Limit, status int, sentAt time.Time) {
+	switch {
+	case l.State == StateNamed:
+		o.RecordLimit(endpoint, born, l.PerSecond)
+	case l.State == StateAbsent && status < http.StatusInternalServerError && status != http.StatusTooManyRequests:
+		o.RecordNoLimit(endpoint, born, sentAt)
+	}
+}
+
 // NoLimits is a Gate that keeps nothing back, and an Observer that learns nothing.
 type NoLimits struct{}
 
