Count crashes under a whole request also before its answer begins

An engine that crashes under a repeated request before it sends a header would have had to do so six times. Cause: such a break counts half, since blocks of other requests wait beside it. A whole request is no block that others have. Change: three crashes are enough for a whole request. Evidence: TestWholeRequestCountsBeforeItsAnswer failed before (not refused after three crashes) and passes.

--- a/internal/traffic/quarantiner/crash.go
+++ b/internal/traffic/quarantiner/crash.go
@@ -34,6 +34,11 @@
 	score   float64
 }
 
+// isEnough reports whether the evidence against a block is enough for a quarantine.
+func (e evidence) isEnough(block string) bool {
+	return e.crashes >= minCrashes && (e.score >= minScore || isWhole(block))
+}
+
 // pendingCrash is a broken request of this daemon that is not yet known to be no part of a burst.
 type pendingCrash struct {
 	key     crashKey
--- a/internal/traffic/quarantiner/quarantiner.go
+++ b/internal/traffic/quarantiner/quarantiner.go
@@ -33,7 +33,8 @@
 	// any, crashes say nothing about single blocks.
 	recentAnswerTime = 10 * time.Second
 	// minScore and minCrashes are what the crashes under one block must reach: a crash counts 1 if
-	// the answer to a request with the block had begun, and waitingScore if it had not.
+	// the answer to a request with the block had begun, and waitingScore if it had not. A whole request
+	// needs no score, since hardly any other request is the same.
 	minScore     = 3.0
 	minCrashes   = 3
 	waitingScore = 0.5
@@ -292,7 +293,7 @@
 	q.changed = false
 	added := false
 	for b, e := range q.evidence {
-		if e.score >= minScore && e.crashes >= minCrashes && !q.isCleared(b) {
+		if e.isEnough(b) && !q.isCleared(b) {
 			added = q.add(Quarantine{Blocks: q.commonBlocks(b), Until: now.Add(Duration), count: 1}, "crashes") || added
 		}
 	}
@@ -308,7 +309,9 @@
 // hasCrashSince reports whether an endpoint crashed under the blocks of a quarantine after its end.
 func (q *Quarantiner) hasCrashSince(e Quarantine) bool {
 	for _, c := range q.crashes {
-		if c.at.After(e.Until) && slices.ContainsFunc(c.requests, func(r brokenRequest) bool { return r.began && containsAll(r.blocks, e.Blocks) }) {
+		if c.at.After(e.Until) && slices.ContainsFunc(c.requests, func(r brokenRequest) bool {
+			return (r.began || slices.ContainsFunc(e.Blocks, isWhole)) && containsAll(r.blocks, e.Blocks)
+		}) {
 			return true
 		}
 	}
--- a/internal/traffic/quarantiner/whole_test.go
+++ b/internal/traffic/quarantiner/whole_test.go
@@ -349,3 +349,24 @@
 		})
 	}
 }
+
+// An engine may crash under a whole request before it sends the header of an answer. Three such crashes are
+// enough, since nothing else has the same organisation, target and body (BUDGET).
+func TestWholeRequestCountsBeforeItsAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuarantiner()
+		time.Sleep(startDelay)
+		for i := range minCrashes {
+			q.RecordAnswer([]string{"first"})
+			q.RecordBreak(fmt.Sprint(i), 1, []string{"first", "subject", WholeRequest("deadly")}, false)
+			time.Sleep(time.Second)
+			q.Tick()
+		}
+		if q.TimeLeft([]string{"first", "subject", WholeRequest("deadly")}) == 0 {
+			t.Errorf("got the request not refused after %d crashes, want it refused", minCrashes)
+		}
+		if q.TimeLeft([]string{"first", "subject", WholeRequest("sound")}) > 0 {
+			t.Error("got another request with its blocks refused, want it served")
+		}
+	})
+}
