Rank the senders of a request limit twice a second

Cause: each limited endpoint ranks all daemons; ten times a second at 420 daemons and many limits that is more than a daemon's control may cost. Change: rankPeriod 500 ms. A daemon that becomes a sender late starts without savings, and one that stops being a sender late sends its part for half a second.

--- a/internal/traffic/throttler/throttler.go
+++ b/internal/traffic/throttler/throttler.go
@@ -35,7 +35,7 @@
 	// the limit before.
 	firstLevel = -0.5
 	// rankPeriod is the time after which the senders are computed again.
-	rankPeriod = 100 * time.Millisecond
+	rankPeriod = 500 * time.Millisecond
 	// maxReportDelay is how late the report of another daemon may arrive. A limit that was named within
 	// that time before it is not ended by it.
 	maxReportDelay = time.Second
