Bound the broken requests of a crash that share a suspect block

Cause: requests beyond the first ones of a crash are kept if one of their blocks broke off before, and a block that hundreds of them share let all of them in, and so into each status. Change: at most 48 of one crash. Evidence: TestReportOnManySuspectRequestsIsBounded failed before with 300 requests in a report, and passes.

--- a/internal/traffic/quarantiner/crash.go
+++ b/internal/traffic/quarantiner/crash.go
@@ -104,7 +104,10 @@
 // addRequest adds a broken request to a crash and reports whether it did: not if the same is known, nor if the
 // crash has too many, unless requests with one of its blocks broke off in another crash as well.
 func (q *Quarantiner) addRequest(c *crash, r brokenRequest) bool {
-	if len(c.requests) >= r.maxInCrash() && !q.isInOtherCrash(c, r) && !q.wasLeftOut(c, r) {
+	if len(c.requests) >= maxInCrash {
+		return false
+	}
+	if len(c.requests) >= r.limitInCrash() && !q.isInOtherCrash(c, r) && !q.wasLeftOut(c, r) {
 		return false
 	}
 	for i, known := range c.requests {
@@ -121,8 +124,8 @@
 	return true
 }
 
-// maxInCrash returns the number of requests of a crash from which on such a request is left out.
-func (r brokenRequest) maxInCrash() int {
+// limitInCrash returns the number of requests of a crash from which on such a request is left out.
+func (r brokenRequest) limitInCrash() int {
 	if r.began {
 		return maxBegun
 	}
--- a/internal/traffic/quarantiner/quarantiner.go
+++ b/internal/traffic/quarantiner/quarantiner.go
@@ -50,11 +50,13 @@
 	forgetPeriod = time.Second
 	// maxAnswered bounds the blocks whose last complete answer is remembered, maxShared the crashes,
 	// cleared blocks and quarantines in one status. maxWaiting and maxBegun bound the broken requests of a
-	// crash whose answers had not begun, and had.
+	// crash whose answers had not begun, and had; maxInCrash bounds those that are kept beyond these, since
+	// one of their blocks broke off in another crash.
 	maxAnswered = 8192
 	maxShared   = 24
 	maxWaiting  = 6
 	maxBegun    = 24
+	maxInCrash  = 48
 	// maxLeftOut bounds the blocks that are remembered of requests beyond these.
 	maxLeftOut = 4096
 	// wholePrefix begins the block that stands for a whole request.
--- a/internal/traffic/quarantiner/whole_test.go
+++ b/internal/traffic/quarantiner/whole_test.go
@@ -370,3 +370,24 @@
 		}
 	})
 }
+
+// Many requests with a block that broke off before are at an endpoint that crashes. The report on them must stay
+// small, since it is part of each status.
+func TestReportOnManySuspectRequestsIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const inFlight = 300
+		q := newQuarantiner()
+		for crash := range 2 {
+			for i := range inFlight {
+				q.RecordBreak(fmt.Sprint(crash), 1, []string{"first", WholeRequest(fmt.Sprint(crash, "-", i))}, false)
+			}
+			time.Sleep(time.Second)
+			q.Tick()
+		}
+		for _, c := range q.LocalReport().Crashes {
+			if got := len(c.Requests); got > maxInCrash {
+				t.Errorf("got %d broken requests of a crash in a report, want %d at most", got, maxInCrash)
+			}
+		}
+	})
+}
