--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -181,79 +180,6 @@
 	return fmt.Errorf("accept peer: %w", cause)
 }
 
-func (m *Messenger) serveConn(ctx context.Context, conn *quic.Conn) {
-	m.trackConn(conn)
-	if !m.keyMaterial.trustsPeer(conn.ConnectionState().TLS) {
-		// The key material changed during the handshake. If the close is lost, the
-		// idle timeout ends the connection at the peer.
-		_ = conn.CloseWithError(0, "certificate no longer valid")
-		return
-	}
-	go m.receiveDatagrams(ctx, conn)
-	for {
-		s, err := conn.AcceptStream(ctx)
-		if err != nil {
-			return
-		}
-		go m.serveCall(ctx, s)
-	}
-}
-
-func (m *Messenger) receiveDatagrams(ctx context.Context, conn *quic.Conn) {
-	for {
-		b, err := conn.ReceiveDatagram(ctx)
-		if err != nil {
-			return
-		}
-		var e envelope
-		if err := cbor.Unmarshal(b, &e); err != nil || e.Version != protocolVersion {
-			continue
-		}
-		m.mu.Lock()
-		f := m.datagramHandlers[e.Kind]
-		m.mu.Unlock()
-		if f != nil {
-			f(e.Body)
-		}
-	}
-}
-
-func (m *Messenger) serveCall(ctx context.Context, s *quic.Stream) {
-	defer s.Close()
-	out := m.handleCall(ctx, s)
-	err := writeEnvelope(s, out)
-	if errors.Is(err, ErrMessageTooLarge) {
-		err = writeEnvelope(s, errorAnswer(err))
-	}
-	if err != nil {
-		// The caller has disconnected, or its call times out.
-		s.CancelWrite(0)
-	}
-}
-
-// handleCall reads one message, calls its handler and returns the answer.
-func (m *Messenger) handleCall(ctx context.Context, s *quic.Stream) envelope {
-	var e envelope
-	if err := readEnvelope(s, &e); err != nil {
-		s.CancelRead(0)
-		return errorAnswer(err)
-	}
-	m.mu.Lock()
-	h := m.handlers[e.Kind]
-	m.mu.Unlock()
-	if e.Version != protocolVersion {
-		return errorAnswer(fmt.Errorf("%w: %d, want %d", ErrUnsupportedVersion, e.Version, protocolVersion))
-	}
-	if h == nil {
-		return errorAnswer(fmt.Errorf("%w: %q", ErrUnknownKind, e.Kind))
-	}
-	b, err := h(ctx, e.Body)
-	if err != nil {
-		return envelope{Version: protocolVersion, Body: b, Error: err.Error()}
-	}
-	return envelope{Version: protocolVersion, Body: b}
-}
-
 // Call sends a message to the daemon at addr and returns its answer. It returns a
 // *CallError if that daemon answers with an error.
 func (m *Messenger) Call(ctx context.Context, addr, kind string, body []byte) ([]byte, error) {
@@ -301,75 +227,3 @@
 	}
 	return nil
 }
-
-func (m *Messenger) connect(ctx context.Context, addr string) (*quic.Conn, error) {
-	m.mu.Lock()
-	conn := m.conns[addr]
-	m.mu.Unlock()
-	if conn != nil && conn.Context().Err() == nil {
-		return conn, nil
-	}
-	// Concurrent calls share one handshake, so the end of one caller's ctx must not cancel it.
-	dialCtx := context.WithoutCancel(ctx)
-	result := m.dialGroup.DoChan(addr, func() (any, error) { return m.dial(dialCtx, addr) })
-	select {
-	case <-ctx.Done():
-		return nil, fmt.Errorf("connect to peer %s: %w", addr, ctx.Err())
-	case r := <-result:
-		if r.Err != nil {
-			return nil, fmt.Errorf("connect to peer %s: %w", addr, r.Err)
-		}
-		return r.Val.(*quic.Conn), nil
-	}
-}
-
-func (m *Messenger) dial(ctx context.Context, addr string) (*quic.Conn, error) {
-	udp, err := net.ResolveUDPAddr("udp", addr)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
-	defer cancel()
-	conn, err := m.transport.Dial(ctx, udp, m.keyMaterial.clientConfig(), quicConfig())
-	if err != nil {
-		return nil, err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.conns[addr] = conn
-	context.AfterFunc(conn.Context(), func() { m.dropConn(addr, conn) })
-	m.trackConnLocked(conn)
-	return conn, nil
-}
-
-// CloseConn closes the connection to an address at which another daemon has replaced the
-// connected one. The next message opens a new connection.
-func (m *Messenger) CloseConn(addr string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if c := m.conns[addr]; c != nil {
-		delete(m.conns, addr)
-		// The replaced daemon no longer runs, so an error does not matter.
-		_ = c.CloseWithError(0, "replaced")
-	}
-}
-
-// dropConn removes a connection from the pool without closing it.
-func (m *Messenger) dropConn(addr string, conn *quic.Conn) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.conns[addr] == conn {
-		delete(m.conns, addr)
-	}
-}
-
-// dropIfStalled removes and closes a connection whose call timed out: its peer may be
-// unreachable on this connection while a new one works.
-func (m *Messenger) dropIfStalled(ctx context.Context, addr string, conn *quic.Conn) {
-	if ctx.Err() == nil {
-		return
-	}
-	m.dropConn(addr, conn)
-	// If the close does not reach the peer either, the idle timeout ends the connection there.
-	_ = conn.CloseWithError(0, "silent")
-}
