Tell the check of a request that was left out from its record

Cause: reading the change again: wasLeftOut recorded as well, and a refusal was copied field by field. Result: no decision changes; go test ./quarantiner ./recorder passes in internal/traffic.

--- a/internal/traffic/quarantiner/crash.go
+++ b/internal/traffic/quarantiner/crash.go
@@ -108,6 +108,7 @@
 		return false
 	}
 	if len(c.requests) >= r.limitInCrash() && !q.isInOtherCrash(c, r) && !q.wasLeftOut(c, r) {
+		q.recordLeftOut(c, r)
 		return false
 	}
 	for i, known := range c.requests {
@@ -149,21 +150,21 @@
 	at    time.Time
 }
 
-// wasLeftOut reports whether a block of a broken request was left out of an earlier crash, and records that it
-// is now where it was not.
+// wasLeftOut reports whether an uncleared block of a broken request was left out of an earlier crash.
 func (q *Quarantiner) wasLeftOut(c *crash, r brokenRequest) bool {
-	if slices.ContainsFunc(r.blocks, func(b string) bool {
+	return slices.ContainsFunc(r.blocks, func(b string) bool {
 		l, ok := q.leftOut[b]
 		return ok && l.crash != c && !q.isCleared(b)
-	}) {
-		return true
-	}
+	})
+}
+
+// recordLeftOut records that a broken request was left out of a crash.
+func (q *Quarantiner) recordLeftOut(c *crash, r brokenRequest) {
 	for _, b := range r.blocks {
 		if len(q.leftOut) < maxLeftOut {
 			q.leftOut[b] = leftOut{c, q.cfg.Now()}
 		}
 	}
-	return false
 }
 
 // score returns how much a broken request counts against each of its blocks.
--- a/internal/traffic/recorder/call.go
+++ b/internal/traffic/recorder/call.go
@@ -51,12 +51,19 @@
 			break
 		}
 	}
+	return Answer{}, r.callRefusal(route.Name, run, last)
+}
+
+// callRefusal returns the refusal of a call that no endpoint answered: that of the quarantine if cause is one.
+func (r *Runner) callRefusal(route string, run refuser.RunState, cause error) error {
 	var quarantined *refuser.Refusal
-	if errors.As(last, &quarantined) {
-		return Answer{}, &refuser.Refusal{Status: quarantined.Status, Title: quarantined.Title, Detail: quarantined.Detail, Run: run, RetryAfter: quarantined.RetryAfter, Err: last}
+	if errors.As(cause, &quarantined) {
+		refusal := *quarantined
+		refusal.Run = run
+		return &refusal
 	}
-	return Answer{}, &refuser.Refusal{
-		Status: http.StatusServiceUnavailable, Title: "unavailable", Run: run, Err: last,
-		RetryAfter: r.retryAfter(route.Name, last), Detail: "no service could answer the call",
+	return &refuser.Refusal{
+		Status: http.StatusServiceUnavailable, Title: "unavailable", Run: run, Err: cause,
+		RetryAfter: r.retryAfter(route, cause), Detail: "no service could answer the call",
 	}
 }
