--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 [ -x target/pomelotiller ] && [ -x target/review-stage ] || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review-stage -case usage-twice -record review/2/record.txt -trouble=$trouble
+exec target/review-stage -case preempted-streams -record review/2/record.txt -trouble=$trouble
