review: the record of case 3 lists requests, answers and runs

The script of the usage reports wrote only the reports to its record. Now each request with its answer and its runs stands there too, and the runs of each tenant that began in each window.

--- a/review/stage/usage.go
+++ b/review/stage/usage.go
@@ -43,11 +43,15 @@
 	}
 	clientsCtx, stopClients := context.WithCancel(ctx)
 	var clients sync.WaitGroup
+	var sent calls
 	for i := range readClients {
-		clients.Go(func() { s.sendReads(clientsCtx, i) })
+		clients.Go(func() { s.sendReads(clientsCtx, i, &sent) })
 	}
-	defer clients.Wait()
-	defer stopClients()
+	defer func() {
+		stopClients()
+		clients.Wait()
+		s.noteUsage(&sent)
+	}()
 	copies := make(chan storeCopy, 1024)
 	go s.copyStore(ctx, copies)
 	if _, err := s.awaitReports(ctx, 2); err != nil {
@@ -74,16 +78,43 @@
 }
 
 // sendReads sends one request after the other to a daemon.
-func (s *stage) sendReads(ctx context.Context, client int) {
+func (s *stage) sendReads(ctx context.Context, client int, sent *calls) {
 	c := channel{address: s.frontend(s.daemons[client%len(s.daemons)])}
 	defer c.close()
 	keys := slices.Sorted(maps.Values(tenants))
 	for n := 0; ctx.Err() == nil; n++ {
-		c.send(&call{id: fmt.Sprintf("r%02d-%05d", client, n), route: "read", key: keys[rand.IntN(len(keys))], method: "GET", behaviour: behaviour{0, readWork}, limit: deskLimit})
+		r := &call{id: fmt.Sprintf("r%02d-%05d", client, n), route: "read", key: keys[rand.IntN(len(keys))], method: "GET", behaviour: behaviour{0, readWork}, limit: deskLimit}
+		if c.send(r) {
+			sent.add(r)
+		}
 		sleep(ctx, readPause)
 	}
 }
 
+// noteUsage writes to the record which requests were sent, answered and run, in short, and how many runs of each tenant
+// began in each window.
+func (s *stage) noteUsage(sent *calls) {
+	runs := s.runsOf()
+	for _, r := range sent.list {
+		s.note("%s %s sent %.3f, status %d at %.3f, ran %d times", r.id, r.key, r.sent.Sub(s.start).Seconds(), r.status, r.ended.Sub(s.start).Seconds(), len(runs[r.id]))
+	}
+	windows := make(map[int64]map[string]int)
+	for _, r := range s.runners {
+		r.mu.Lock()
+		for _, n := range r.runs {
+			w := n.from.UnixMilli() / usageWindow.Milliseconds()
+			if windows[w] == nil {
+				windows[w] = make(map[string]int)
+			}
+			windows[w][n.tenant]++
+		}
+		r.mu.Unlock()
+	}
+	for _, w := range slices.Sorted(maps.Keys(windows)) {
+		s.note("runs that began in window %d: %v", w, windows[w])
+	}
+}
+
 // copyStore copies the store from time to time.
 func (s *stage) copyStore(ctx context.Context, copies chan<- storeCopy) {
 	for sleep(ctx, copyPeriod) {
