Record the store's era before usage reports become final

Cause: a report is final by its entry in the store. A restore removes the entry, and a holder of the duty that has not heard of the report takes the missing entry for one that was never written. Change: an era record in the store names the era and the latest window that had ended when a daemon first noticed it. Windows up to that one are reported only by a daemon that remembers the report, and a report whose write ended in another era than it was checked in is not sent. The stand-in memorizer has backups and eras.

--- a/internal/control/accounter/accounter.go
+++ b/internal/control/accounter/accounter.go
@@ -81,7 +81,9 @@
 	countsRestored bool
 	// finalReports caches the final reports that this daemon wrote to or read from the store.
 	finalReports map[int64]Report
-	lastSave     lastSave
+	// era is the record of the store's era; nil until it was read in this term.
+	era      *eraRecord
+	lastSave lastSave
 }
 
 // New returns an accounter.
@@ -98,6 +100,9 @@
 		return
 	}
 	a.beginTerm(ctx, f)
+	if _, err := a.checkEra(ctx); err != nil {
+		a.log("msg", "check of the store's era failed", "fence", f.Token, "error", err)
+	}
 	a.restoreCounts(ctx)
 	a.reportClosedWindows(ctx, f, now)
 	if a.cfg.Policies.IsOn(switcher.Save) {
@@ -125,8 +130,8 @@
 		}
 		a.triedAt[w] = now
 		err := a.reportWindow(ctx, f, w)
-		if errors.Is(err, errReportLost) {
-			a.log("msg", "final usage report missing from the store", "window", w, "outcome", "no report sent")
+		if errors.Is(err, errReportLost) || errors.Is(err, errFormerEra) {
+			a.log("msg", "no final usage report of the window", "window", w, "outcome", "no report sent", "error", err)
 			a.markDone(w)
 			continue
 		}
@@ -195,18 +200,13 @@
 var errNotFinal = errors.New("read or write the final report")
 
 // finalize returns the final report of a window. If no daemon has written one yet, it writes
-// the counts known here as the final report.
+// the counts known here as the final report. A report that this daemon does not remember counts as final
+// only if the store holds it in an era in which the window can have no other one.
 func (a *Accounter) finalize(ctx context.Context, w int64) (Report, error) {
-	r, ok := a.finalReports[w]
-	if ok {
+	if r, ok := a.finalReports[w]; ok {
 		return r, nil
 	}
-	var err error
-	if w <= a.cfg.Counter.FinalWindow() {
-		r, err = a.readFinal(ctx, w)
-	} else {
-		r, err = a.createFinal(ctx, w)
-	}
+	r, err := a.finalizeInStore(ctx, w)
 	if err != nil {
 		return r, fmt.Errorf("window %d: %w", w, err)
 	}
@@ -216,36 +216,58 @@
 	return r, nil
 }
 
+// finalizeInStore reads the final report of a window from the store, or writes it there.
+func (a *Accounter) finalizeInStore(ctx context.Context, w int64) (Report, error) {
+	era, err := a.checkEra(ctx)
+	if err != nil {
+		return Report{}, fmt.Errorf("%w: %w", errNotFinal, err)
+	}
+	if w <= era.LastEnded {
+		return Report{}, errFormerEra
+	}
+	readOrCreate := a.createFinal
+	if w <= a.cfg.Counter.FinalWindow() {
+		readOrCreate = a.readFinal
+	}
+	e, err := readOrCreate(ctx, w)
+	if err != nil {
+		return Report{}, err
+	}
+	if !a.isCurrentEra(e.Revision) {
+		return Report{}, fmt.Errorf("%w: %w", errNotFinal, errStoreRestored)
+	}
+	return decodeReport(e)
+}
+
 // readFinal reads the final report that another daemon wrote for a window.
-func (a *Accounter) readFinal(ctx context.Context, w int64) (Report, error) {
+func (a *Accounter) readFinal(ctx context.Context, w int64) (storer.Entry, error) {
 	e, err := a.cfg.Store.Get(ctx, reportKey(w))
 	if errors.Is(err, storer.ErrNotFound) {
-		return Report{}, errReportLost
+		return e, errReportLost
 	}
 	if err != nil {
-		return Report{}, fmt.Errorf("%w: %w", errNotFinal, err)
+		return e, fmt.Errorf("%w: %w", errNotFinal, err)
 	}
-	return decodeReport(e)
+	return e, nil
 }
 
 // createFinal writes the final report of a window by compare-and-swap. If the store holds one
 // already, it returns that one.
-func (a *Accounter) createFinal(ctx context.Context, w int64) (Report, error) {
-	r := Report{Window: w, Counts: a.cfg.Counter.Counts(w)}
-	b, err := json.Marshal(r)
+func (a *Accounter) createFinal(ctx context.Context, w int64) (storer.Entry, error) {
+	b, err := json.Marshal(Report{Window: w, Counts: a.cfg.Counter.Counts(w)})
 	if err != nil {
-		return r, err
+		return storer.Entry{}, err
 	}
-	_, err = a.cfg.Store.Swap(ctx, storer.Write{Key: reportKey(w), Value: b})
+	e, err := a.cfg.Store.Swap(ctx, storer.Write{Key: reportKey(w), Value: b})
 	var conflict *storer.ConflictError
 	if errors.As(err, &conflict) && len(conflict.Current.Value) > 0 {
-		return decodeReport(conflict.Current)
+		return conflict.Current, nil
 	}
 	if err != nil {
-		return r, fmt.Errorf("%w: %w", errNotFinal, err)
+		return e, fmt.Errorf("%w: %w", errNotFinal, err)
 	}
 	a.deleteExpired(ctx, w)
-	return r, nil
+	return e, nil
 }
 
 func decodeReport(e storer.Entry) (Report, error) {
--- a/internal/control/accounter/recovery.go
+++ b/internal/control/accounter/recovery.go
@@ -40,7 +40,7 @@
 	if f == a.fence {
 		return
 	}
-	a.fence, a.countsRestored = f, false
+	a.fence, a.countsRestored, a.era = f, false, nil
 	if a.cfg.PeerCounts == nil {
 		return
 	}
@@ -99,8 +99,10 @@
 	case errors.As(err, &conflict):
 		// Another holder saved counts in the meantime.
 		_, err = a.mergeSaved(conflict.Current)
+		a.isCurrentEra(conflict.Current.Revision)
 	case err == nil:
 		a.lastSave = lastSave{e.Revision, now, requests}
+		a.isCurrentEra(e.Revision)
 		return
 	}
 	a.lastSave.savedAt = now.Add(savePause - period)
--- a/internal/standin/memorizer/memorizer.go
+++ b/internal/standin/memorizer/memorizer.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -28,14 +29,17 @@
 // Memorizer is a key-value store in memory; it implements storer.Store. All methods are
 // safe for concurrent use.
 type Memorizer struct {
-	cfg             Config
-	mu              sync.Mutex
+	cfg Config
+	mu  sync.Mutex
+	// era is the number of restores so far; revision is the latest one within it.
+	era             uint64
 	revision        uint64
 	entries         map[string]storer.Entry
 	leases          map[string]lease
 	lastLeaseNumber int
 	unavailable     bool
 	answersToLose   int
+	beforeSwap      func(storer.Write)
 	calls           Calls
 }
 
@@ -75,6 +79,46 @@
 	clear(m.leases)
 }
 
+// Backup is a copy of the entries of a Memorizer.
+type Backup struct {
+	revision uint64
+	entries  map[string]storer.Entry
+}
+
+// Backup returns a copy for a later Restore.
+func (m *Memorizer) Backup() Backup {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Backup{m.revision, maps.Clone(m.entries)}
+}
+
+// Restore begins a new era with the entries of a backup and no leases. The revisions after the backup are
+// given out again.
+func (m *Memorizer) Restore(b Backup) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	m.revision, m.entries = b.revision, maps.Clone(b.entries)
+	clear(m.leases)
+	maps.DeleteFunc(m.entries, func(_ string, e storer.Entry) bool { return e.Lease != "" })
+}
+
+// BeforeSwap sets a function that is called before each write takes effect, for instance to restore the
+// store meanwhile. The function may be nil and may call the Memorizer.
+func (m *Memorizer) BeforeSwap(f func(storer.Write)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.beforeSwap = f
+}
+
+// inEra returns an entry as a caller sees it in the current era. The caller must hold m.mu.
+func (m *Memorizer) inEra(e storer.Entry) storer.Entry {
+	if e.Revision > 0 {
+		e.Revision = storer.JoinEra(m.era, e.Revision)
+	}
+	return e
+}
+
 // Calls returns the calls counted so far.
 func (m *Memorizer) Calls() Calls {
 	m.mu.Lock()
@@ -121,11 +165,17 @@
 	if !ok {
 		return storer.Entry{}, fmt.Errorf("get %q: %w", key, storer.ErrNotFound)
 	}
-	return e, nil
+	return m.inEra(e), nil
 }
 
 // Swap implements storer.Store.
 func (m *Memorizer) Swap(_ context.Context, w storer.Write) (storer.Entry, error) {
+	m.mu.Lock()
+	before := m.beforeSwap
+	m.mu.Unlock()
+	if before != nil {
+		before(w)
+	}
 	err := m.beginCall(&m.calls.Writes)
 	defer m.mu.Unlock()
 	if err != nil {
@@ -134,7 +184,7 @@
 	if _, ok := m.leases[w.Lease]; !ok && w.Lease != "" {
 		return storer.Entry{}, fmt.Errorf("swap %q: %w", w.Key, storer.ErrLeaseLapsed)
 	}
-	if e := m.entries[w.Key]; e.Revision != w.Expect {
+	if e := m.inEra(m.entries[w.Key]); e.Revision != w.Expect {
 		return storer.Entry{}, &storer.ConflictError{Key: w.Key, Expect: w.Expect, Current: e}
 	}
 	m.revision++
@@ -147,7 +197,7 @@
 		m.answersToLose--
 		return storer.Entry{}, fmt.Errorf("swap %q: %w", w.Key, storer.ErrUnknownResult)
 	}
-	return e, nil
+	return m.inEra(e), nil
 }
 
 // List implements storer.Store.
@@ -157,10 +207,10 @@
 	if err != nil {
 		return storer.Page{}, err
 	}
-	p := storer.Page{Revision: m.revision}
+	p := storer.Page{Revision: storer.JoinEra(m.era, m.revision)}
 	for key, e := range m.entries {
 		if strings.HasPrefix(key, prefix) {
-			p.Entries = append(p.Entries, e)
+			p.Entries = append(p.Entries, m.inEra(e))
 		}
 	}
 	slices.SortFunc(p.Entries, func(a, b storer.Entry) int { return cmp.Compare(a.Key, b.Key) })
