Give each holder of a duty a fencing token of its own

Cause: the token was the largest of the stored epoch, the highest epoch told by others, each plus one, and the time in seconds. A restore takes back the first, a daemon that took the duty before any status arrived has not heard the second, and the third is the same within one second. Change: the upper bits of the token are at least the time in milliseconds, the 12 low bits follow from the daemon's name. Evidence: TestNoTokenOfTwoHoldersAfterARestore failed in three of three cases before and passes.

--- a/internal/control/dutykeeper/acquire.go
+++ b/internal/control/dutykeeper/acquire.go
@@ -68,9 +68,7 @@
 	if err != nil {
 		return nil, k.revokeAfterError(ctx, lease, err)
 	}
-	// A store that was restored from a copy may hold an old epoch. The highest epoch reported by
-	// other daemons and the clock keep the new epoch above all that were used.
-	r = Record{Holder: k.cfg.Self, Epoch: max(r.Epoch+1, k.HighestEpoch()+1, uint64(max(0, k.cfg.Now().Unix())))}
+	r = Record{Holder: k.cfg.Self, Epoch: nextEpoch(max(r.Epoch, k.HighestEpoch()), k.cfg.Now(), k.cfg.Self)}
 	k.RecordEpoch(r.Epoch)
 	b, err := json.Marshal(r)
 	if err != nil {
--- a/internal/control/dutykeeper/dutykeeper_test.go
+++ b/internal/control/dutykeeper/dutykeeper_test.go
@@ -154,6 +154,46 @@
 	}
 }
 
+// The store is restored from a copy just after a daemon has begun its term, and another daemon that has not
+// heard of that term takes the duty. The two must not use one fencing token, also if an earlier clock was
+// ahead of both. Found by the soak of the review, seed 7027.
+func TestNoTokenOfTwoHoldersAfterARestore(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		elapsed      time.Duration
+		clockWasLate time.Duration
+	}{
+		{"at the same moment", 0, 0},
+		{"within one second", 300 * time.Millisecond, 0},
+		{"after a term whose clock was ahead", 300 * time.Millisecond, time.Hour},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(t, 3, 1)
+			f.now = f.now.Add(tc.clockWasLate)
+			f.advance(time.Second)
+			before, _ := f.onlyHolder(f.duties[0])
+			f.now = f.now.Add(-tc.clockWasLate)
+			copied := f.store.Backup()
+			used := make(map[uint64]int)
+			for i := range f.keepers {
+				if i == before {
+					continue
+				}
+				f.store.Restore(copied)
+				h, err := f.keepers[i].acquire(t.Context(), f.duties[0], f.now)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if other, ok := used[h.Epoch]; ok {
+					t.Errorf("got fencing token %d at daemons %d and %d, want different ones", h.Epoch, other, i)
+				}
+				used[h.Epoch] = i
+				f.now = f.now.Add(tc.elapsed)
+			}
+		})
+	}
+}
+
 // TestNeverTwoHolders pauses one daemon after another for different times, also for longer than
 // its lease, and marks it as suspected meanwhile. No duty may have two holders afterwards.
 func TestNeverTwoHolders(t *testing.T) {
