Keep a silent attempt until another one is reserved

Cause: each bound on silence ended the attempt for the sake of a next one, and the retry budget, the quarantine and the choice of an endpoint were asked afterwards. Change: the goroutine that reads the answer reserves the next endpoint and a place in the retry budget before it ends the attempt, and reads on if it can't. Log lines of attempts and a counter say why an attempt was kept.

--- a/internal/traffic/carrier/account.go
+++ b/internal/traffic/carrier/account.go
@@ -89,6 +89,9 @@
 	if a.conn != nil {
 		fields = append(fields, "reused", a.reused)
 	}
+	if a.silences > 0 {
+		fields = append(fields, "silences", a.silences, "no_next", a.noNext)
+	}
 	fields = append(fields, answerFields(a)...)
 	if err != nil {
 		fields = append(fields, "run", q.runState, "key", q.key, "blocks", blockIDs(q.query.PromptBlocks), "error", err)
--- a/internal/traffic/carrier/attempt.go
+++ b/internal/traffic/carrier/attempt.go
@@ -16,7 +16,6 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
-	"pomelotiller/internal/config/switcher"
 	"pomelotiller/internal/traffic/chooser"
 	"pomelotiller/internal/traffic/dialer"
 	"pomelotiller/internal/traffic/refuser"
@@ -69,7 +68,12 @@
 	// hasEvents says that an event of the answer was sent to the caller.
 	hasEvents bool
 	// writes counts the writes to the caller that held an event.
-	writes int
+	writes   int
+	patience patience
+	// silences counts the times at which the endpoint was silent for long and the attempt went on, since
+	// noNext was missing for another one.
+	silences int
+	noNext   string
 	// outcomeRecorded says that the outcome of the attempt was recorded.
 	outcomeRecorded bool
 }
@@ -79,11 +83,6 @@
 	spanCtx, span := c.cfg.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
 		attribute.Int("n", q.attempts), attribute.String("endpoint", ch.Endpoint.ID)))
 	actx, cancel := context.WithCancel(spanCtx)
-	if p := q.attemptTimeout(ch); p > 0 && c.cfg.Policies.IsOn(switcher.Patience) {
-		// The deferred stop runs once the header has arrived; the body has no such limit.
-		t := time.AfterFunc(p, cancel)
-		defer t.Stop()
-	}
 	a := &answer{c: c, ctx: actx, cancel: cancel, span: span, choice: ch, sentAt: time.Now(), from: q.events.order.lastID}
 	a.attempt = c.cfg.Chooser.Start(q.query, ch)
 	err := a.connect(q)
@@ -126,10 +125,16 @@
 	err := a.sendRequest(q)
 	reason := "request was not sent completely"
 	if err == nil {
-		err = a.readHeader(q)
 		reason = "no answer"
+		err = a.watchSilence(q, a.headerPatience(q))
+	}
+	if err == nil {
+		err = a.readHeader(q)
 	}
 	stop()
+	if err == nil {
+		err = a.conn.StopWatch()
+	}
 	if err != nil {
 		q.runState = max(q.runState, refuser.Unknown)
 		return &attemptError{maybeSent: true, reason: reason, err: err}
@@ -315,7 +320,7 @@
 		a.c.cfg.Pool.Discard(a.conn)
 		return
 	}
-	if err := a.conn.SetDeadline(time.Time{}); err != nil {
+	if err := errors.Join(a.conn.StopWatch(), a.conn.SetDeadline(time.Time{})); err != nil {
 		a.c.cfg.Pool.Discard(a.conn)
 		return
 	}
--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -135,6 +135,8 @@
 	attempts int
 	// choice is the endpoint chosen for the latest attempt.
 	choice chooser.Choice
+	// next is the endpoint reserved for the next attempt, whose retry was taken from the budget; nil if none is.
+	next *chooser.Choice
 	// lastFailure is the latest complete answer with a 5xx status.
 	lastFailure *answer
 	// usageRecorded says that the request has been counted in the usage.
--- a/internal/traffic/carrier/deliver.go
+++ b/internal/traffic/carrier/deliver.go
@@ -125,10 +125,7 @@
 // interruptOnCancel makes reads and writes on the connection fail once the attempt's
 // context is done. The returned function stops that.
 func (a *answer) interruptOnCancel() func() bool {
-	return context.AfterFunc(a.ctx, func() {
-		// An error means that the connection is closed already.
-		_ = a.conn.SetDeadline(time.Unix(1, 0))
-	})
+	return context.AfterFunc(a.ctx, a.conn.Interrupt)
 }
 
 // writeAnswer sends a complete answer to the caller.
@@ -184,8 +181,10 @@
 // its end arrives, so that another endpoint can resume the stream. It returns an error unless the
 // stream is complete.
 func (c *Carrier) relayEvents(q *request, a *answer) error {
-	silenceTimeout := time.AfterFunc(q.silenceTimeout()+q.route.Target, a.cancel)
-	defer silenceTimeout.Stop()
+	// The first event may take longer by the latency target.
+	if err := a.watchSilence(q, a.eventPatience(q, q.route.Target)); err != nil {
+		return err
+	}
 	buf := make([]byte, 0, streamBufferBytes)
 	for {
 		if len(buf) == cap(buf) {
@@ -201,11 +200,14 @@
 		}
 		whole := endOfEvents(buf)
 		if whole > 0 {
-			// Only whole events restart the timer, not the bytes of an incomplete one.
-			silenceTimeout.Reset(q.silenceTimeout())
 			if werr := c.admitEvents(q, a, buf[:whole]); werr != nil {
 				return werr
 			}
+			// Only whole events end a silence, not the bytes of an incomplete one. The time in which the
+			// caller takes them is not the endpoint's.
+			if werr := a.waitOn(a.eventPatience(q, 0)); werr != nil {
+				return werr
+			}
 			buf = append(buf[:0], buf[whole:]...)
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/traffic/carrier/serve.go
+++ b/internal/traffic/carrier/serve.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"time"
 
-	"pomelotiller/internal/config/registrar"
 	"pomelotiller/internal/config/switcher"
 	"pomelotiller/internal/traffic/chooser"
 	"pomelotiller/internal/traffic/refuser"
@@ -24,22 +23,6 @@
 	startupRetryAfter = 300 * time.Millisecond
 	// minRetryAfter keeps callers from retrying immediately.
 	minRetryAfter = 50 * time.Millisecond
-	// hedgeFraction is the fraction of the remaining time after which an attempt at a
-	// repeatable request is abandoned without an answer, to try another endpoint.
-	hedgeFraction = 0.45
-	// retryGapFactor is the silence that ends an attempt at a resumable stream, in
-	// multiples of the route's longest pause between events.
-	retryGapFactor = 4
-	// minRetryGap is the shortest silence that ends such an attempt.
-	minRetryGap = time.Second
-	// Callers abandon a stream after a silence of minCallerGap, callerTargetFactor
-	// times the route's target or callerGapFactor times its longest pause, whichever
-	// is longest. The carrier waits callerGapMargin longer, so that the caller
-	// decides.
-	minCallerGap       = 2 * time.Second
-	callerTargetFactor = 4
-	callerGapFactor    = 8
-	callerGapMargin    = 500 * time.Millisecond
 )
 
 // serveWithRetries sends a request to one endpoint after another until one answers or
@@ -70,9 +53,13 @@
 	}
 }
 
-// chooseEndpoint picks an endpoint, or refuses the request if none is available or
+// chooseEndpoint takes the reserved endpoint or picks one, or refuses the request if none is available or
 // the predicted wait of its first attempt is too long.
 func (c *Carrier) chooseEndpoint(q *request) (chooser.Choice, error) {
+	if next := q.next; next != nil {
+		q.next, q.choice = nil, *next
+		return *next, nil
+	}
 	snap := c.cfg.Endpoints()
 	q.endpointsVersion = snap.Version
 	q.query.MaxWait = q.maxWait()
@@ -142,8 +129,13 @@
 func (c *Carrier) mayRetry(ctx context.Context, q *request, err error) bool {
 	var a *attemptError
 	if !errors.As(err, &a) || ctx.Err() != nil {
+		c.returnReserved(q)
 		return false
 	}
+	if q.next != nil {
+		// The retry was taken from the budget before the attempt was ended.
+		return true
+	}
 	if q.runState != refuser.NotRun && !q.route.IsRepeatable() {
 		return false
 	}
@@ -206,29 +198,6 @@
 	}
 }
 
-// attemptTimeout returns how long an attempt may wait for the header of its answer
-// before the request goes to another endpoint; 0 means until the request expires.
-func (q *request) attemptTimeout(ch chooser.Choice) time.Duration {
-	left := time.Until(q.expiry)
-	if !q.route.IsRepeatable() || q.attempts >= q.route.Attempts {
-		return 0
-	}
-	if q.route.Kind == registrar.KindStream {
-		return max(2*ch.Wait, 2*q.route.Target)
-	}
-	return time.Duration(hedgeFraction * float64(left))
-}
-
-// silenceTimeout returns how long an endpoint may send no event within a stream. It is
-// shorter if another endpoint can resume the stream. Otherwise it exceeds the wait of
-// callers, so that the caller decides when to abandon the stream.
-func (q *request) silenceTimeout() time.Duration {
-	if q.route.IsRepeatable() && q.attempts < q.route.Attempts {
-		return max(retryGapFactor*q.route.Gap, minRetryGap)
-	}
-	return max(minCallerGap, callerTargetFactor*q.route.Target, callerGapFactor*q.route.Gap) + callerGapMargin
-}
-
 // hostName returns the value of a Host header without its port.
 func hostName(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
--- a/internal/traffic/dialer/dialer.go
+++ b/internal/traffic/dialer/dialer.go
@@ -58,6 +58,8 @@
 	Reader *bufio.Reader
 	// limitedReader is the source of Reader.
 	limitedReader *limitedReader
+	// silence is the source of limitedReader.
+	silence *silenceReader
 	// Reused is set if the connection has carried a request before.
 	Reused bool
 
@@ -189,8 +191,9 @@
 		return nil, fmt.Errorf("connect to endpoint %s: %w", t.Instance, err)
 	}
 	meter.AddToCounter(p.cfg.Registry, 1, "endpoint_connections_total")
-	l := &limitedReader{nc, -1}
-	return &Conn{Conn: nc, Reader: bufio.NewReaderSize(l, readBufferBytes), limitedReader: l, target: t}, nil
+	silence := &silenceReader{Conn: nc}
+	l := &limitedReader{silence, -1}
+	return &Conn{Conn: nc, Reader: bufio.NewReaderSize(l, readBufferBytes), limitedReader: l, silence: silence, target: t}, nil
 }
 
 // PutIdle returns a connection to the pool after a complete answer. idleTimeout is the time after
