Keep a silent engine until a retry is reserved

Cause: the watchdog ended the attempt, and the budget and the other engines were asked afterwards. Change: before it ends an attempt at an answer that has not begun, the watchdog takes the retry from the budget and checks that an engine is left.

--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -69,8 +69,8 @@
 	r.cfg.Tracer.Propagation.Inject(ctx, header)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := startWatchdog(job.Route.Target, p.stalls, cancel)
-	defer watch.stop()
+	watch := startWatchdog(job.Route.Target, p.stalls, cancel, r.nextAttempt(ctx, p, c))
+	defer func() { p.retryTaken = watch.stop() }()
 	f := r.registerAttempt(ctx, cancel, job, c)
 	defer r.unregisterAttempt(f, p)
 	before := p.runState
--- a/internal/traffic/relayer/failure.go
+++ b/internal/traffic/relayer/failure.go
@@ -67,6 +67,9 @@
 	case errors.Is(err, errMigrated):
 		return false
 	}
+	if errors.Is(err, errStalled) && p.retryTaken {
+		return false
+	}
 	return r.cfg.AllowRetry != nil && mayAddOverload(err) && !r.cfg.AllowRetry()
 }
 
--- a/internal/traffic/relayer/progress.go
+++ b/internal/traffic/relayer/progress.go
@@ -37,6 +37,8 @@
 	// stalls counts the attempts that timed out since the last new token. After one, attempts
 	// use new connections.
 	stalls int
+	// retryTaken says that the retry after the last attempt was taken from the retry budget before it ended.
+	retryTaken bool
 	// rounds counts how often all engines have failed since the last new token.
 	rounds int
 	// failingSince is when the first attempt since the last new token failed.
