Bound the memory that all answers of endpoints hold together

What callers saw elsewhere: an endpoint sent bytes without end, the machine that had called it ran out of memory, and the requests of others ended with it. Cause here: each answer was bounded to 1 MB, the sum was not, and the search for the end of an event read the whole buffer again at each read, so that many answers were held for long. Change: what answers hold beyond 16 KB each counts against one limit of 16 MB; when it is reached the largest answer ends. The search starts at the new bytes, and a stated length over the limit ends the attempt before the body is read. TestSoundAnswersBesideEndlessOnes holds before and after.

--- a/internal/traffic/carrier/attempt.go
+++ b/internal/traffic/carrier/attempt.go
@@ -16,6 +16,8 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"pomelotiller/internal/observe/meter"
+	"pomelotiller/internal/remote/rationer"
 	"pomelotiller/internal/traffic/chooser"
 	"pomelotiller/internal/traffic/dialer"
 	"pomelotiller/internal/traffic/refuser"
@@ -70,6 +72,8 @@
 	// writes counts the writes to the caller that held an event.
 	writes   int
 	patience patience
+	// holding is the memory for the body of the answer.
+	holding *rationer.Holding
 	// silences counts the times at which the endpoint was silent for long and the attempt went on, since
 	// noNext was missing for another one.
 	silences int
@@ -85,6 +89,8 @@
 	actx, cancel := context.WithCancel(spanCtx)
 	a := &answer{c: c, ctx: actx, cancel: cancel, span: span, choice: ch, sentAt: time.Now(), from: q.events.order.lastID}
 	a.attempt = c.cfg.Chooser.Start(q.query, ch)
+	a.holding = c.answerMemory.Begin(a.evict)
+	q.holdings = append(q.holdings, a.holding)
 	err := a.connect(q)
 	if err == nil {
 		err = a.roundTrip(q)
@@ -99,6 +105,12 @@
 	return a, nil
 }
 
+// evict ends the attempt to make room for other answers.
+func (a *answer) evict() {
+	meter.AddToCounter(a.c.cfg.Registry, 1, "evicted_answers_total", "service", a.choice.Endpoint.Service)
+	a.cancel()
+}
+
 // connect gets a connection to the endpoint. If it fails, nothing has been sent.
 func (a *answer) connect(q *request) error {
 	e := a.choice.Endpoint
--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -21,6 +21,7 @@
 	"pomelotiller/internal/config/switcher"
 	"pomelotiller/internal/fleet/tracker"
 	"pomelotiller/internal/observe/tracer"
+	"pomelotiller/internal/remote/rationer"
 	"pomelotiller/internal/traffic/chooser"
 	"pomelotiller/internal/traffic/dialer"
 	"pomelotiller/internal/traffic/limiter"
@@ -86,6 +87,8 @@
 type Carrier struct {
 	cfg      Config
 	inFlight atomic.Int64
+	// answerMemory is the memory for the answers of all endpoints.
+	answerMemory *rationer.Ration
 	// stop holds the times of a planned stop; nil while there is none.
 	stop atomic.Pointer[StopTimes]
 	// ending is done once the requests in flight must end; endRequests ends it.
@@ -98,7 +101,7 @@
 	if cfg.Limits == nil {
 		cfg.Limits = throttler.NoLimits{}
 	}
-	c := &Carrier{cfg: cfg}
+	c := &Carrier{cfg: cfg, answerMemory: rationer.New(answerMemoryBytes)}
 	c.ending, c.endRequests = context.WithCancel(context.Background())
 	return c
 }
@@ -137,6 +140,8 @@
 	choice chooser.Choice
 	// next is the endpoint reserved for the next attempt, whose retry was taken from the budget; nil if none is.
 	next *chooser.Choice
+	// holdings is the memory of the answers of all attempts.
+	holdings []*rationer.Holding
 	// lastFailure is the latest complete answer with a 5xx status.
 	lastFailure *answer
 	// usageRecorded says that the request has been counted in the usage.
@@ -162,6 +167,7 @@
 	ctx, span := c.cfg.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	q := &request{w: w, start: time.Now(), method: r.Method, target: r.RequestURI, host: r.Host}
+	defer q.endHoldings()
 	err := c.admitRequest(q, r)
 	if err == nil {
 		err = c.serveWithDeadline(ctx, q)
@@ -173,6 +179,13 @@
 	c.finishRequest(r.Context(), q, err)
 }
 
+// endHoldings gives back the memory of all answers.
+func (q *request) endHoldings() {
+	for _, h := range q.holdings {
+		h.End()
+	}
+}
+
 // serveWithDeadline serves an admitted request until it expires.
 func (c *Carrier) serveWithDeadline(ctx context.Context, q *request) error {
 	ctx, cancel := context.WithDeadline(ctx, q.expiry)
--- a/internal/traffic/carrier/deliver.go
+++ b/internal/traffic/carrier/deliver.go
@@ -13,8 +13,8 @@
 
 	"pomelotiller/internal/config/registrar"
 	"pomelotiller/internal/fleet/tracker"
+	"pomelotiller/internal/remote/rationer"
 	"pomelotiller/internal/traffic/chooser"
-	"pomelotiller/internal/traffic/dialer"
 )
 
 const (
@@ -25,7 +25,10 @@
 	// endCheckTimeout bounds the check of the end of an answer without a length or chunks.
 	endCheckTimeout = 250 * time.Millisecond
 	// streamBufferBytes is the initial buffer size for the events of a stream.
-	streamBufferBytes = 16 << 10
+	streamBufferBytes = rationer.FreeBytes
+	// answerMemoryBytes bounds what the answers of all endpoints together hold beyond rationer.FreeBytes
+	// each. A daemon has 128 MB (docs/CAPACITY.md).
+	answerMemoryBytes = 16 << 20
 	// maxEventBytes is the largest event of a stream.
 	maxEventBytes = 1 << 20
 )
@@ -59,6 +62,7 @@
 	body, err := readAnswerBody(a)
 	a.recordFirstByte(q)
 	if err != nil {
+		a.holding.End()
 		c.recordMissingAnswer(ctx, q, a, err)
 		a.finish(resultOfError(ctx, err), false)
 		err = &attemptError{maybeSent: true, reason: "answer broke off", err: err}
@@ -89,16 +93,27 @@
 func readAnswerBody(a *answer) ([]byte, error) {
 	stop := a.interruptOnCancel()
 	defer stop()
-	b, err := io.ReadAll(io.LimitReader(a.res.Body, maxBufferedAnswerBytes+1))
+	if a.res.ContentLength > maxBufferedAnswerBytes {
+		return nil, fmt.Errorf("answer of %d bytes: %w", a.res.ContentLength, rationer.ErrTooLarge)
+	}
+	b, err := rationer.ReadAll(a.res.Body, a.holding, maxBufferedAnswerBytes)
 	if err != nil {
-		return nil, err
+		return nil, a.explainEviction(err)
 	}
-	if len(b) > maxBufferedAnswerBytes {
-		return nil, errors.New("answer is over the size limit")
+	if err := a.holding.Pin(); err != nil {
+		return nil, err
 	}
 	return b, a.checkEnd()
 }
 
+// explainEviction says so if the attempt was ended to make room for other answers.
+func (a *answer) explainEviction(err error) error {
+	if a.holding.IsEvicted() {
+		return errors.Join(rationer.ErrFull, err)
+	}
+	return err
+}
+
 // checkEnd returns an error if the end of the connection ended the answer and its endpoint refuses
 // connections without having said that it leaves: a process that is killed closes its connections like one
 // that has sent all. One that leaves may refuse connections while it sends its last answers.
@@ -185,22 +200,18 @@
 	if err := a.watchSilence(q, a.eventPatience(q, q.route.Target)); err != nil {
 		return err
 	}
-	buf := make([]byte, 0, streamBufferBytes)
+	defer a.holding.End()
+	buf := rationer.NewBuffer(a.holding, streamBufferBytes)
+	// scanned is the length of the part of the buffer that holds no end of an event.
+	scanned := 0
 	for {
-		if len(buf) == cap(buf) {
-			if len(buf) > maxEventBytes {
-				return fmt.Errorf("event is over %d bytes: %w", maxEventBytes, dialer.ErrAnswerTooLarge)
-			}
-			buf = append(buf, 0)[:len(buf)]
-		}
-		n, err := a.res.Body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if n > 0 {
+		_, err := buf.ReadOnce(a.res.Body, maxEventBytes)
+		if len(buf.Bytes()) > 0 {
 			a.recordFirstByte(q)
 		}
-		whole := endOfEvents(buf)
+		whole := endOfEvents(buf.Bytes(), scanned)
 		if whole > 0 {
-			if werr := c.admitEvents(q, a, buf[:whole]); werr != nil {
+			if werr := c.admitEvents(q, a, buf.Bytes()[:whole]); werr != nil {
 				return werr
 			}
 			// Only whole events end a silence, not the bytes of an incomplete one. The time in which the
@@ -208,13 +219,16 @@
 			if werr := a.waitOn(a.eventPatience(q, 0)); werr != nil {
 				return werr
 			}
-			buf = append(buf[:0], buf[whole:]...)
+			if derr := buf.Drop(whole); derr != nil {
+				return derr
+			}
 		}
+		scanned = len(buf.Bytes())
 		if errors.Is(err, io.EOF) {
-			return c.endStream(q, a, buf)
+			return c.endStream(q, a, buf.Bytes())
 		}
 		if err != nil {
-			return err
+			return a.explainEviction(err)
 		}
 	}
 }
--- a/internal/traffic/carrier/event.go
+++ b/internal/traffic/carrier/event.go
@@ -6,17 +6,20 @@
 )
 
 // endOfEvents returns the length of the whole events at the start of a part of a stream. Each ends
-// with a blank line.
-func endOfEvents(b []byte) int {
-	end := 0
-	for _, blank := range []string{"\n\n", "\n\r\n"} {
-		if i := bytes.LastIndex(b, []byte(blank)); i >= 0 {
-			end = max(end, i+len(blank))
+// with a blank line. The first scanned bytes hold no such end, unless bytes after them complete it.
+func endOfEvents(b []byte, scanned int) int {
+	start, end := max(0, scanned-len(longestBlank)+1), 0
+	for _, blank := range []string{"\n\n", longestBlank} {
+		if i := bytes.LastIndex(b[start:], []byte(blank)); i >= 0 {
+			end = max(end, start+i+len(blank))
 		}
 	}
 	return end
 }
 
+// longestBlank is the longest end of a line with a blank line after it.
+const longestBlank = "\n\r\n"
+
 // cutEvent returns the first of whole events, and the events after it.
 func cutEvent(events []byte) (event, rest []byte) {
 	for i := bytes.IndexByte(events, '\n') + 1; i > 0 && i < len(events); {
