Bound the answers of engines, services and the platform together

Each HTTP transport took 10 MB of header by default, lines of streams and answers of services 4 MB each without a bound on the sum, and answers of the platform 64 MB, cut in silence. Change: headers are bounded to 64 KB; lines and answers share one ration of 16 MB; an order that has run and whose answer finds no memory is answered without its body. No client asks for compressed bodies any more.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -30,6 +30,7 @@
 	"pomelotiller/internal/observe/tracer"
 	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/remote/lister"
+	"pomelotiller/internal/remote/rationer"
 	"pomelotiller/internal/remote/storer"
 	"pomelotiller/internal/traffic/admitter"
 	"pomelotiller/internal/traffic/listener"
@@ -62,6 +63,8 @@
 	logger   log.Logger
 	registry metrics.Registry
 	tracer   tracer.Tracer
+	// answerMemory is the memory for the answers of engines and services.
+	answerMemory *rationer.Ration
 	// flushSpans sends the spans that are still queued.
 	flushSpans func(context.Context) error
 	// viewHolder holds the current view of the fleet and the configuration.
@@ -165,6 +168,9 @@
 	d.buildTraffic(store, recorder.OwnerName(s.Name, incarnation))
 }
 
+// answerMemoryBytes bounds what the answers of all engines and services together hold.
+const answerMemoryBytes = 16 << 20
+
 // buildTraffic builds the components that process requests and the handler of operators' requests.
 func (d *Daemon) buildTraffic(store storer.Store, owner string) {
 	s := d.settings
@@ -172,11 +178,12 @@
 	rt := d.newRouter()
 	d.admitter = admitter.New()
 	d.quarantiner = d.newQuarantiner()
+	d.answerMemory = rationer.New(answerMemoryBytes)
 	rec := d.buildOrders(store, owner, rt)
 	d.relayer = relayer.New(relayer.Config{
 		View: d.viewHolder.Load, Router: rt, Domain: s.Domain, HTTP: inferrer.NewHTTP(), Tracer: d.tracer, Registry: d.registry,
 		OnLeaving: d.handleLeavingRefusal, AllowRetry: d.admitter.RetryBudget.TryWithdraw, Outcomes: d.moveComponents.follower,
-		Quarantine: d.quarantiner, Limits: d.throttler,
+		Quarantine: d.quarantiner, Limits: d.throttler, Memory: d.answerMemory,
 	})
 	d.listener = listener.New(listener.Config{
 		View: d.viewHolder.Load, Admitter: d.admitter, Recorder: rec, Tracer: d.tracer, Registry: d.registry,
--- a/internal/daemon/assembler/orders.go
+++ b/internal/daemon/assembler/orders.go
@@ -19,7 +19,7 @@
 	d.orderRunner = recorder.NewRunner(d.ctx, recorder.RunnerConfig{
 		Recorder: rec, Router: rt, View: d.viewHolder.Load, Name: d.settings.Name, Domain: d.settings.Domain,
 		Peers: d.messenger, Quarantine: d.quarantiner, Limits: d.throttler, Tracer: d.tracer, Logger: d.logger, Registry: d.registry,
-		Services: observedServices{recorder.HTTPServices{}, d.viewHolder.Load, d.moveComponents.follower},
+		Services: observedServices{recorder.HTTPServices{Memory: d.answerMemory}, d.viewHolder.Load, d.moveComponents.follower},
 	})
 	return rec
 }
--- a/internal/remote/inferrer/client.go
+++ b/internal/remote/inferrer/client.go
@@ -17,6 +17,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"pomelotiller/internal/remote/rationer"
 )
 
 const (
@@ -43,6 +45,8 @@
 	HTTP *http.Client
 	// FreshHTTP is the HTTP client for attempts that ask for a new connection; nil uses HTTP.
 	FreshHTTP *http.Client
+	// Memory is the memory for the lines of all streams; nil sets no limit.
+	Memory *rationer.Ration
 	// OnAnswer, if set, is called with the header of each answer to an attempt.
 	OnAnswer func(res *http.Response)
 }
@@ -68,6 +72,8 @@
 			IdleConnTimeout:     30 * time.Second,
 			DisableCompression:  true,
 			DisableKeepAlives:   fresh,
+
+			MaxResponseHeaderBytes: rationer.MaxHeaderBytes,
 		},
 	}
 }
@@ -117,7 +123,7 @@
 		cancel()
 		return nil, err
 	}
-	return &stream{cancel: cancel, body: res.Body, lines: bufio.NewReader(res.Body), request: a.Request}, nil
+	return &stream{cancel: cancel, body: res.Body, lines: bufio.NewReader(res.Body), request: a.Request, holding: c.cfg.Memory.Begin(cancel)}, nil
 }
 
 func (c *Client) newAttemptRequest(ctx context.Context, a Attempt) (*http.Request, error) {
@@ -175,6 +181,8 @@
 	body    io.ReadCloser
 	lines   *bufio.Reader
 	request string
+	// holding is the memory for a line that is longer than the buffer of lines.
+	holding *rationer.Holding
 }
 
 // Next implements Stream.
@@ -214,9 +222,13 @@
 	long := bytes.Clone(line)
 	for errors.Is(err, bufio.ErrBufferFull) && len(long) < maxLineBytes {
 		line, err = s.lines.ReadSlice('\n')
+		if rerr := s.holding.Resize(2 * (len(long) + len(line))); rerr != nil {
+			return nil, rerr
+		}
 		long = append(long, line...)
 	}
-	return long, err
+	// A whole line is soon passed on.
+	return long, errors.Join(err, s.holding.Resize(0))
 }
 
 // HasBufferedChunk implements Stream.
@@ -229,6 +241,7 @@
 func (s *stream) Close() {
 	s.cancel()
 	s.body.Close()
+	s.holding.End()
 }
 
 // Cancel implements Engine.
--- a/internal/remote/rationer/rationer.go
+++ b/internal/remote/rationer/rationer.go
@@ -11,6 +11,9 @@
 // FreeBytes is what an answer may hold without being counted.
 const FreeBytes = 16 << 10
 
+// MaxHeaderBytes bounds the header of an answer, interim answers included.
+const MaxHeaderBytes = 64 << 10
+
 // ErrFull is the error of an answer for which there is no memory left.
 var ErrFull = errors.New("no memory left for the answer")
 
@@ -36,7 +39,7 @@
 	return r.peak
 }
 
-// Holding is the memory of one answer.
+// Holding is the memory of one answer. A nil Holding has no limit.
 type Holding struct {
 	ration *Ration
 	evict  func()
@@ -47,12 +50,17 @@
 
 // Begin returns a holding without memory. evict is called at most once, in any goroutine, when the answer must
 // end to make room; it must not call the holding.
-func (r *Ration) Begin(evict func()) *Holding { return &Holding{ration: r, evict: evict} }
+func (r *Ration) Begin(evict func()) *Holding {
+	if r == nil {
+		return nil
+	}
+	return &Holding{ration: r, evict: evict}
+}
 
 // Resize sets the size of the holding in bytes. To make room it evicts larger holdings, the largest first. It
 // returns ErrFull if there are none, or if the holding was itself evicted.
 func (h *Holding) Resize(n int) error {
-	if h == nil || h.ration == nil {
+	if h == nil {
 		return nil
 	}
 	victims, err := h.resize(max(n-FreeBytes, 0))
@@ -109,7 +117,7 @@
 
 // Pin keeps the holding of an answer that is complete from being evicted.
 func (h *Holding) Pin() error {
-	if h == nil || h.ration == nil {
+	if h == nil {
 		return nil
 	}
 	h.ration.mu.Lock()
@@ -123,7 +131,7 @@
 
 // IsEvicted reports whether the answer had to make room.
 func (h *Holding) IsEvicted() bool {
-	if h == nil || h.ration == nil {
+	if h == nil {
 		return false
 	}
 	h.ration.mu.Lock()
@@ -133,7 +141,7 @@
 
 // End gives all memory back. It may be called several times.
 func (h *Holding) End() {
-	if h == nil || h.ration == nil {
+	if h == nil {
 		return
 	}
 	h.ration.mu.Lock()
--- a/internal/remote/requester/requester.go
+++ b/internal/remote/requester/requester.go
@@ -10,12 +10,14 @@
 	"io"
 	"net/http"
 	"time"
+
+	"pomelotiller/internal/remote/rationer"
 )
 
 const (
-	defaultTimeout = 2 * time.Second
-	maxAnswerBytes = 64 << 20
-	maxIdleConns   = 16
+	defaultTimeout        = 2 * time.Second
+	defaultMaxAnswerBytes = 64 << 20
+	maxIdleConns          = 16
 	// idleConnTimeout is short, since an idle connection may have stalled unnoticed.
 	idleConnTimeout = 5 * time.Second
 )
@@ -26,6 +28,8 @@
 	Address string
 	// Timeout is the longest duration of one call; 0 is 2 s.
 	Timeout time.Duration
+	// MaxAnswerBytes is the size of the largest body of an answer; 0 is 64 MB.
+	MaxAnswerBytes int
 }
 
 // Client calls one service of the platform.
@@ -39,7 +43,13 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = defaultTimeout
 	}
-	t := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout}
+	if cfg.MaxAnswerBytes == 0 {
+		cfg.MaxAnswerBytes = defaultMaxAnswerBytes
+	}
+	t := &http.Transport{
+		MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: rationer.MaxHeaderBytes,
+	}
 	return &Client{cfg: cfg, http: &http.Client{
 		Transport: t,
 		// A redirect would send a call again, to an address that the settings do not name.
@@ -92,7 +102,7 @@
 		return Answer{}, err
 	}
 	defer res.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	b, err := rationer.ReadAll(res.Body, nil, c.cfg.MaxAnswerBytes)
 	if err != nil {
 		return Answer{}, fmt.Errorf("read answer: %w", err)
 	}
--- a/internal/traffic/recorder/sender.go
+++ b/internal/traffic/recorder/sender.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/remote/rationer"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/throttler"
 )
@@ -56,11 +57,19 @@
 }
 
 // HTTPServices implements Services over HTTP.
-type HTTPServices struct{}
+type HTTPServices struct {
+	// Memory is the memory for the answers of services; nil sets no limit.
+	Memory *rationer.Ration
+}
 
 // Connect implements Services.
-func (HTTPServices) Connect(ctx context.Context, address string) (Sender, error) {
-	return Connect(ctx, address)
+func (s HTTPServices) Connect(ctx context.Context, address string) (Sender, error) {
+	c, err := Connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.memory = s.Memory
+	return c, nil
 }
 
 // Status implements Services. Each look-up opens a new connection, since an older one may have
@@ -72,7 +81,7 @@
 	if err != nil {
 		return Report{}, fmt.Errorf("status look-up: %w", err)
 	}
-	res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	res, err := (&http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: rationer.MaxHeaderBytes}).RoundTrip(req)
 	if err != nil {
 		return Report{}, fmt.Errorf("status look-up: %w", err)
 	}
@@ -96,6 +105,7 @@
 	address string
 	// writeStarted is set before the first byte is written.
 	writeStarted atomic.Bool
+	memory       *rationer.Ration
 }
 
 // Connect opens a connection to the endpoint at address.
@@ -126,7 +136,9 @@
 // because net/http silently repeats a request with an Idempotency-Key when a reused connection
 // breaks.
 func (c *Connection) Send(ctx context.Context, o Order, header http.Header) (Answer, error) {
-	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: singleUseDialer(writeTrackingConn{c.conn, &c.writeStarted})}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: rationer.MaxHeaderBytes, DialContext: singleUseDialer(writeTrackingConn{c.conn, &c.writeStarted})}
 	req, err := http.NewRequestWithContext(ctx, o.Request.Method, "http://"+c.address+o.Request.Path, io.NopCloser(bytes.NewReader(o.Request.Body)))
 	if err != nil {
 		return Answer{}, &SendError{RunState: refuser.NotRun, Err: err}
@@ -148,7 +160,9 @@
 		return Answer{}, &SendError{RunState: refuser.Unknown, Err: err}
 	}
 	defer res.Body.Close()
-	return readAnswer(res, o)
+	h := c.memory.Begin(cancel)
+	defer h.End()
+	return readAnswer(res, o, h)
 }
 
 var errDialedTwice = errors.New("an order is sent on one connection only")
@@ -174,22 +188,25 @@
 
 func isFinalStatus(status int) bool { return status >= http.StatusOK && status <= 999 }
 
-func readAnswer(res *http.Response, o Order) (Answer, error) {
+// readAnswer reads the answer to an order. One that is too large, or for which there is no memory, comes without
+// its body.
+func readAnswer(res *http.Response, o Order, h *rationer.Holding) (Answer, error) {
 	if !inferrer.IsFramed(res) {
 		return Answer{}, &SendError{RunState: refuser.Unknown, Err: fmt.Errorf("%w: %w", inferrer.ErrTruncated, errUnframed)}
 	}
 	if !isFinalStatus(res.StatusCode) {
 		return Answer{}, &SendError{RunState: refuser.Unknown, Err: fmt.Errorf("%w: %d", errNotFinalStatus, res.StatusCode)}
 	}
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
-	if err != nil {
+	b, err := rationer.ReadAll(res.Body, h, maxAnswerBytes)
+	isOmitted := errors.Is(err, rationer.ErrTooLarge) || errors.Is(err, rationer.ErrFull) || err != nil && h.IsEvicted()
+	if err != nil && !isOmitted {
 		return Answer{}, &SendError{RunState: refuser.Unknown, Err: fmt.Errorf("%w: %w", inferrer.ErrTruncated, err)}
 	}
 	if res.Header.Get(inferrer.HeaderRequest) != o.ID || res.Header.Get(inferrer.HeaderAttempt) != strconv.Itoa(o.Attempt) {
 		return Answer{}, &SendError{RunState: refuser.Unknown, Err: inferrer.ErrForeignAnswer}
 	}
 	limit := throttler.ParseLimit(res.Header[inferrer.HeaderLimit])
-	if len(b) > maxAnswerBytes {
+	if isOmitted {
 		return Answer{Status: res.StatusCode, Omitted: true, Limit: limit}, nil
 	}
 	return Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: b, Limit: limit}, nil
--- a/internal/traffic/relayer/relayer.go
+++ b/internal/traffic/relayer/relayer.go
@@ -19,6 +19,7 @@
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/observe/tracer"
 	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/remote/rationer"
 	"pomelotiller/internal/traffic/quarantiner"
 	"pomelotiller/internal/traffic/router"
 	"pomelotiller/internal/traffic/throttler"
@@ -85,6 +86,8 @@
 	ResumeTimeout time.Duration
 	// Outcomes receives the outcomes of attempts; nil disables reporting.
 	Outcomes Outcomes
+	// Memory is the memory for the answers of engines; nil sets no limit.
+	Memory *rationer.Ration
 	// Limits learns the request limits that engines name; nil learns none.
 	Limits throttler.Observer
 	// Quarantine refuses the prompts under which engines crash; nil refuses none.
