--- a/internal/remote/inferrer/endless_test.go
+++ b/internal/remote/inferrer/endless_test.go
@@ -17,7 +17,7 @@
 	const attempts, most = 64, 8 << 20
 	block := strings.Repeat("x", 16<<10)
 	for _, isHeader := range []bool{false, true} {
-		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(HeaderRequest, "r")
 			w.Header().Set(HeaderAttempt, "1")
 			if isHeader {
