Let a buffer shrink while the memory for answers is full

Cause: a buffer that gives memory back counted the old and the new one at once, so that a sound stream could fail after a large event while the memory was full. Found by reading the change; TestDropNeedsNoMemory guards it.

--- a/internal/remote/rationer/buffer.go
+++ b/internal/remote/rationer/buffer.go
@@ -55,7 +55,8 @@
 func (b *Buffer) Drop(n int) error {
 	b.b = b.b[:copy(b.b, b.b[n:])]
 	if cap(b.b) > b.initial && len(b.b) <= b.initial/2 {
-		return b.grow(b.initial)
+		b.b = append(make([]byte, 0, b.initial), b.b...)
+		return b.holding.Resize(b.initial)
 	}
 	return nil
 }
--- a/internal/remote/rationer/rationer_test.go
+++ b/internal/remote/rationer/rationer_test.go
@@ -87,6 +87,25 @@
 	}
 }
 
+// A large buffer that is emptied beside answers that fill the memory must be able to shrink.
+func TestDropNeedsNoMemory(t *testing.T) {
+	r := New(100 << 10)
+	b := NewBuffer(r.Begin(func() { t.Error("got an eviction, want none") }), FreeBytes)
+	long := strings.NewReader(strings.Repeat("x", 30<<10))
+	for long.Len() > 0 {
+		if _, err := b.ReadOnce(long, 1<<20); err != nil {
+			t.Fatal(err)
+		}
+	}
+	other := r.Begin(func() { t.Error("got an eviction, want none") })
+	if err := other.Resize(FreeBytes + 100<<10 - r.used); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.Drop(30 << 10); err != nil {
+		t.Errorf("got error %v, want none", err)
+	}
+}
+
 // A large buffer that is emptied must give its memory back.
 func TestDropGivesMemoryBack(t *testing.T) {
 	r := New(1 << 20)
