Ask for a next attempt only once it is due

Cause: the check of a silent attempt relied on the timer alone to tell the end of the callers' wait from the time for a next attempt. A deadline that passes early by the clock's precision could have asked for a next attempt where the route allows none. Found by reading the change; not seen in a run.

--- a/internal/traffic/carrier/silence.go
+++ b/internal/traffic/carrier/silence.go
@@ -48,6 +48,9 @@
 	return p.next
 }
 
+// isNextDue reports whether the attempt may be given up for another one now.
+func (p patience) isNextDue(now time.Time) bool { return !p.next.IsZero() && !now.Before(p.next) }
+
 // errSilent ends an attempt whose endpoint was silent for too long.
 var errSilent = errors.New("endpoint has been silent for too long")
 
@@ -97,14 +100,16 @@
 	switch {
 	case !p.end.IsZero() && !now.Before(p.end):
 		a.countSilence(q, "ended")
-	case a.reserveNext(q, p, now):
+	case p.isNextDue(now) && a.reserveNext(q, p, now):
 		a.countSilence(q, "moved")
 	default:
-		if a.silences == 0 {
+		if a.silences++; a.silences == 1 {
 			a.countSilence(q, "kept")
 		}
-		a.silences++
-		return patience{next: now.Add(nextCheckPeriod), end: p.end}.until(), nil
+		if !p.next.IsZero() {
+			p.next = now.Add(nextCheckPeriod)
+		}
+		return p.until(), nil
 	}
 	a.cancel()
 	return time.Time{}, errSilent
