--- a/internal/traffic/carrier/deliver.go
+++ b/internal/traffic/carrier/deliver.go
@@ -93,7 +93,7 @@
 func readAnswerBody(a *answer) ([]byte, error) {
 	stop := a.interruptOnCancel()
 	defer stop()
-	if a.res.ContentLength > maxBufferedAnswerBytes {
+	if a.res.Body != http.NoBody && a.res.ContentLength > maxBufferedAnswerBytes {
 		return nil, fmt.Errorf("answer of %d bytes: %w", a.res.ContentLength, rationer.ErrTooLarge)
 	}
 	b, err := rationer.ReadAll(a.res.Body, a.holding, maxBufferedAnswerBytes)
--- a/internal/traffic/dialer/dialer.go
+++ b/internal/traffic/dialer/dialer.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pomelotiller/internal/observe/meter"
+	"pomelotiller/internal/remote/rationer"
 )
 
 const (
@@ -48,9 +49,6 @@
 	Limit int
 }
 
-// ErrAnswerTooLarge is the error for an endpoint that sends more bytes than an answer may have.
-var ErrAnswerTooLarge = errors.New("answer exceeds the size limit")
-
 // Conn is a connection to an endpoint that carries one request at a time.
 type Conn struct {
 	net.Conn
@@ -68,7 +66,7 @@
 	idleSince, usableUntil time.Time
 }
 
-// limitedReader reads at most remaining bytes, and then fails with ErrAnswerTooLarge; a negative
+// limitedReader reads at most remaining bytes, and then fails with rationer.ErrTooLarge; a negative
 // number is no limit.
 type limitedReader struct {
 	r         io.Reader
@@ -81,7 +79,7 @@
 		return l.r.Read(p)
 	}
 	if l.remaining == 0 {
-		return 0, ErrAnswerTooLarge
+		return 0, rationer.ErrTooLarge
 	}
 	n, err := l.r.Read(p[:min(int64(len(p)), l.remaining)])
 	l.remaining -= int64(n)
