Count the memory of an evicted answer until the answer has ended

Cause: the memory of an evicted answer was given to the next one at once, while its goroutine had not run yet and still held the buffer. Change: it counts until the answer has ended, and the next one waits for it, up to 250 ms.

--- a/internal/remote/rationer/rationer.go
+++ b/internal/remote/rationer/rationer.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"sync"
+	"time"
 )
 
 // FreeBytes is what an answer may hold without being counted.
@@ -14,6 +15,9 @@
 // MaxHeaderBytes bounds the header of an answer, interim answers included.
 const MaxHeaderBytes = 64 << 10
 
+// evictTimeout bounds the wait for answers that were evicted. They end at once unless their callers are slow.
+const evictTimeout = 250 * time.Millisecond
+
 // ErrFull is the error of an answer for which there is no memory left.
 var ErrFull = errors.New("no memory left for the answer")
 
@@ -23,13 +27,16 @@
 
 	mu sync.Mutex
 	// used is the sum of the counted bytes of all holdings, and peak the largest sum so far.
-	used, peak int
-	holdings   map[*Holding]struct{}
+	// ending is the part of used whose holdings were evicted and have not ended yet.
+	used, peak, ending int
+	holdings           map[*Holding]struct{}
+	// freed is closed and replaced when room may have become free.
+	freed chan struct{}
 }
 
 // New returns a ration with a limit in bytes.
 func New(limit int) *Ration {
-	return &Ration{limit: limit, holdings: make(map[*Holding]struct{})}
+	return &Ration{limit: limit, holdings: make(map[*Holding]struct{}), freed: make(chan struct{})}
 }
 
 // Peak returns the largest number of bytes that was counted at one time.
@@ -49,7 +56,7 @@
 }
 
 // Begin returns a holding without memory. evict is called at most once, in any goroutine, when the answer must
-// end to make room; it must not call the holding.
+// end to make room; it must not call Resize.
 func (r *Ration) Begin(evict func()) *Holding {
 	if r == nil {
 		return nil
@@ -57,38 +64,63 @@
 	return &Holding{ration: r, evict: evict}
 }
 
-// Resize sets the size of the holding in bytes. To make room it evicts larger holdings, the largest first. It
-// returns ErrFull if there are none, or if the holding was itself evicted.
+// Resize sets the size of the holding in bytes. To make room it evicts larger holdings, the largest first, and
+// waits until they end. It returns ErrFull if there are none, if they do not end within evictTimeout, or if the
+// holding was itself evicted.
 func (h *Holding) Resize(n int) error {
 	if h == nil {
 		return nil
 	}
-	victims, err := h.resize(max(n-FreeBytes, 0))
-	for _, v := range victims {
-		v.evict()
+	timeout := time.NewTimer(evictTimeout)
+	defer timeout.Stop()
+	for {
+		victim, freed, err := h.tryResize(max(n-FreeBytes, 0))
+		if err != nil || freed == nil {
+			return err
+		}
+		if victim != nil {
+			victim.evict()
+		}
+		select {
+		case <-freed:
+		case <-timeout.C:
+			return ErrFull
+		}
 	}
-	return err
 }
 
-func (h *Holding) resize(counted int) ([]*Holding, error) {
+// tryResize changes the size if there is room. Otherwise it returns a channel that is closed when some holding
+// has ended, and a holding to be evicted, if another one must be.
+func (h *Holding) tryResize(counted int) (*Holding, <-chan struct{}, error) {
 	r := h.ration
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var victims []*Holding
 	if h.evicted {
-		return nil, ErrFull
+		return nil, nil, ErrFull
 	}
-	for counted > h.counted && r.used-h.counted+counted > r.limit {
-		v := r.largest(counted)
-		if v == nil {
-			return victims, ErrFull
-		}
-		v.evicted = true
-		r.count(v, 0)
-		victims = append(victims, v)
+	if counted <= h.counted || r.used-h.counted+counted <= r.limit {
+		r.count(h, counted)
+		return nil, nil, nil
+	}
+	if r.used-r.ending-h.counted+counted <= r.limit {
+		// Those that were evicted make enough room as they end.
+		return nil, r.freed, nil
+	}
+	v := r.largest(counted)
+	if v == nil {
+		return nil, nil, ErrFull
 	}
-	r.count(h, counted)
-	return victims, nil
+	v.evicted = true
+	r.ending += v.counted
+	// A victim that waits for room must notice that it was evicted.
+	r.signal()
+	return v, r.freed, nil
+}
+
+// signal wakes the holdings that wait for room. The caller must hold r.mu.
+func (r *Ration) signal() {
+	close(r.freed)
+	r.freed = make(chan struct{})
 }
 
 // largest returns the largest holding above a size that may be evicted; nil if there is none. The caller must
@@ -96,7 +128,7 @@
 func (r *Ration) largest(above int) *Holding {
 	var out *Holding
 	for h := range r.holdings {
-		if h.counted > above && !h.pinned {
+		if h.counted > above && !h.pinned && !h.evicted {
 			out, above = h, h.counted
 		}
 	}
@@ -146,5 +178,12 @@
 	}
 	h.ration.mu.Lock()
 	defer h.ration.mu.Unlock()
+	if h.counted == 0 {
+		return
+	}
+	if h.evicted {
+		h.ration.ending -= h.counted
+	}
 	h.ration.count(h, 0)
+	h.ration.signal()
 }
--- a/internal/remote/rationer/rationer_test.go
+++ b/internal/remote/rationer/rationer_test.go
@@ -14,7 +14,8 @@
 	r := New(100 << 10)
 	evicted := make(map[string]int)
 	begin := func(name string, n int) *Holding {
-		h := r.Begin(func() { evicted[name]++ })
+		var h *Holding
+		h = r.Begin(func() { evicted[name]++; h.End() })
 		if err := h.Resize(FreeBytes + n); err != nil {
 			t.Fatalf("%s: got error %v, want none", name, err)
 		}
@@ -42,20 +43,53 @@
 	}
 }
 
+// The memory of an evicted answer is only free once the answer has ended.
+func TestEvictedAnswerHoldsItsMemoryUntilItEnds(t *testing.T) {
+	r := New(100 << 10)
+	evicted := make(chan struct{})
+	large := r.Begin(func() { close(evicted) })
+	if err := large.Resize(FreeBytes + 90<<10); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		<-evicted
+		large.End()
+	}()
+	small := r.Begin(func() {})
+	if err := small.Resize(FreeBytes + 50<<10); err != nil {
+		t.Errorf("got error %v, want room once the large answer has ended", err)
+	}
+	if got, want := r.Peak(), 90<<10; got != want {
+		t.Errorf("got a peak of %d bytes, want %d", got, want)
+	}
+	stuck := r.Begin(func() {})
+	if err := errors.Join(small.Resize(FreeBytes+10<<10), stuck.Resize(FreeBytes+80<<10)); err != nil {
+		t.Fatal(err)
+	}
+	if err := small.Resize(FreeBytes + 50<<10); !errors.Is(err, ErrFull) {
+		t.Errorf("got error %v beside an evicted answer that does not end, want %v", err, ErrFull)
+	}
+}
+
 // Whatever answers do, the counted bytes never exceed the limit, and none are left at the end.
 func TestRationIsNeverExceeded(t *testing.T) {
 	for seed := range uint64(50) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
 		r := New(1 << 20)
 		holdings := make([]*Holding, 40)
+		begin := func() *Holding {
+			var h *Holding
+			h = r.Begin(func() { h.End() })
+			return h
+		}
 		for i := range holdings {
-			holdings[i] = r.Begin(func() {})
+			holdings[i] = begin()
 		}
 		for range 2000 {
 			i := rnd.IntN(len(holdings))
 			if rnd.IntN(5) == 0 {
 				holdings[i].End()
-				holdings[i] = r.Begin(func() {})
+				holdings[i] = begin()
 				continue
 			}
 			// ErrFull is a proper result.
