--- a/internal/traffic/carrier/attempt.go
+++ b/internal/traffic/carrier/attempt.go
@@ -2,11 +2,9 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -24,9 +22,6 @@
 )
 
 const (
-	// maxForeignAnswers bounds the answers to other requests that an attempt
-	// discards on its connection before it fails.
-	maxForeignAnswers = 3
 	// maxIdleNonRepeatable and maxIdleRepeatable bound how long a reused
 	// connection may have been idle. The bound is shorter for a request that must
 	// not run twice: it is lost if the connection has died unnoticed.
@@ -35,8 +30,6 @@
 	// maxInlineBodyBytes is the largest request body that is written before the
 	// answer is read, and bounds what drainBody reads.
 	maxInlineBodyBytes = 4 << 10
-	// drainTimeout bounds the time in which drainBody reads.
-	drainTimeout = 100 * time.Millisecond
 )
 
 // answer is an attempt at one endpoint and the header of its answer. The body is
@@ -197,100 +190,6 @@
 	return names
 }
 
-// readHeader reads the header of the answer to the request. It discards answers to
-// other requests that arrive first on the connection.
-func (a *answer) readHeader(q *request) error {
-	req := &http.Request{Method: q.method}
-	for range maxForeignAnswers {
-		a.conn.LimitReads(rationer.MaxHeaderBytes)
-		res, err := a.readResponse(req)
-		a.conn.LimitReads(-1)
-		if err != nil {
-			return err
-		}
-		v := a.c.cfg.Codec.ParseVerdict(q.Call, res)
-		if !v.Foreign {
-			a.res, a.verdict = res, v
-			return nil
-		}
-		a.c.logForeignAnswer(q, a, res.StatusCode)
-		if n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxBufferedAnswerBytes+1)); err != nil || n > maxBufferedAnswerBytes {
-			return fmt.Errorf("discard the answer to another request: %d bytes: %w", n, cmp.Or(err, rationer.ErrTooLarge))
-		}
-		if res.Close {
-			return errors.New("endpoint closed the connection after an answer to another request")
-		}
-	}
-	return errors.New("too many answers to other requests")
-}
-
-// readResponse reads the header of a final answer and skips interim (1xx) ones. It
-// marks the endpoint as leaving if any of their headers says so.
-func (a *answer) readResponse(req *http.Request) (*http.Response, error) {
-	for {
-		res, err := http.ReadResponse(a.conn.Reader, req)
-		if err != nil {
-			return nil, err
-		}
-		e := a.choice.Endpoint
-		if res.StatusCode != http.StatusMisdirectedRequest && a.c.cfg.Codec.IsLeaving(res.Header) {
-			a.c.cfg.MarkLeaving(e.ID, e.Born, "its answer says so")
-		}
-		if res.StatusCode >= http.StatusOK {
-			return res, nil
-		}
-	}
-}
-
-// checkVerdict applies what the answer says about its endpoint, and returns an
-// error if the endpoint did not run the request.
-func (a *answer) checkVerdict(q *request) error {
-	if a.verdict.Unnamed && a.reused {
-		// It may be an answer to an earlier request on the connection, written once more.
-		q.runState = max(q.runState, refuser.Unknown)
-		return &attemptError{maybeSent: true, reason: fmt.Sprintf("answer with status %d does not name its request", a.res.StatusCode), err: errUnnamed}
-	}
-	a.recordLimit()
-	if a.verdict.Misdirected {
-		e := a.choice.Endpoint
-		a.c.cfg.MarkLeaving(e.ID, e.Born, "another endpoint has its address")
-	}
-	if a.verdict.RetryAfter > 0 {
-		a.c.cfg.Chooser.PauseEndpoint(a.choice.Endpoint, a.verdict.RetryAfter)
-	}
-	if !a.verdict.NotRun {
-		q.runState = refuser.Ran
-		return nil
-	}
-	err := &attemptError{maybeSent: true, reason: fmt.Sprintf("not run, status %d", a.res.StatusCode), err: errNotRun}
-	if a.verdict.RetryAfter > 0 {
-		err.err = fmt.Errorf("%w: next request in %s", errPaused, a.verdict.RetryAfter)
-	}
-	a.drainBody(resultOfError(a.ctx, err))
-	return err
-}
-
-// errUnnamed means that an answer on a reused connection cannot be attributed to the request.
-var errUnnamed = errors.New("answer to an unknown request")
-
-// errNotRun means that an endpoint refused a request before running it.
-var errNotRun = errors.New("refused by the endpoint")
-
-// errPaused means that an endpoint refused a request before running it and asked for
-// no requests for some time. Such an answer does not count against its health.
-var errPaused = errors.New("refused by the endpoint, which takes no requests for a while")
-
-// drainBody reads a short body that has arrived to its end, so that the connection can be reused.
-func (a *answer) drainBody(r chooser.Result) {
-	if err := a.conn.SetReadDeadline(time.Now().Add(drainTimeout)); err != nil {
-		return
-	}
-	b, err := io.ReadAll(io.LimitReader(a.res.Body, maxInlineBodyBytes))
-	if err == nil && len(b) < maxInlineBodyBytes {
-		a.finish(r, true)
-	}
-}
-
 // recordFirstByte records when the body of the answer began, and counts the request
 // in the usage of its organisation.
 func (a *answer) recordFirstByte(q *request) {
