Count a replica as loaded once its entries are applied

Cause: the replica counted as loaded before its entries were applied, which takes long for large entries. Evidence: TestNotLoadedBeforeTheEntriesAreApplied failed before and passes.

--- a/internal/fleet/syncer/syncer.go
+++ b/internal/fleet/syncer/syncer.go
@@ -89,6 +89,8 @@
 	// first time. It has no record of entries deleted before that revision.
 	loaded        bool
 	firstRevision uint64
+	// applied reports that Config.Apply has returned for the first complete content.
+	applied bool
 	// failingSince is when the store stopped answering this daemon; zero while it answers.
 	failingSince time.Time
 	// lastUnreachable is when a call of this daemon to the store last failed while,
@@ -115,11 +117,11 @@
 // PullKind returns the kind of the messages by which other daemons call ServePull.
 func (s *Syncer) PullKind() string { return "sync/" + s.cfg.Prefix }
 
-// IsLoaded reports whether the replica has ever been complete.
+// IsLoaded reports whether the replica has ever been complete and Config.Apply has applied its content.
 func (s *Syncer) IsLoaded() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.loaded
+	return s.applied
 }
 
 // Run lists and watches the store until ctx ends. It makes no calls while shouldWait is true.
@@ -247,6 +249,9 @@
 	if len(changed) > 0 || relisted {
 		s.cfg.Apply(changed, lastUnreachable)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applied = true
 }
 
 // recordAnswer records that the store answered this daemon.
--- a/internal/fleet/syncer/syncer_test.go
+++ b/internal/fleet/syncer/syncer_test.go
@@ -198,6 +198,23 @@
 	})
 }
 
+// A daemon that says that it is ready while its first entries are still being applied refuses its callers. The
+// replica must not count as loaded before Apply has returned.
+func TestNotLoadedBeforeTheEntriesAreApplied(t *testing.T) {
+	st := &store{}
+	st.put("part/a", "1", false)
+	var s *Syncer
+	var during []bool
+	s = New(Config{
+		Store: st, Prefix: "part/", Peers: &peers{}, Registry: metrics.NewRegistry(), Logger: log.NewNopLogger(),
+		Apply: func([]storer.Entry, time.Time) { during = append(during, s.IsLoaded()) },
+	})
+	s.merge(st.backup(), true)
+	if len(during) != 1 || during[0] || !s.IsLoaded() {
+		t.Errorf("got loaded %v while the entries were applied and %t afterwards, want false and true", during, s.IsLoaded())
+	}
+}
+
 func TestListsAgainAfterCompaction(t *testing.T) {
 	runWithReplica(t, func(_ context.Context, st *store, c *replica) {
 		st.mu.Lock()
