Review case 10: a tenant that pauses may exceed its allowance afterwards

While a tenant pauses, each daemon of a small fleet builds up a credit for what the others seem to admit, and later admits as if it were alone.

--- a/review/stage-2/pause.go
+++ b/review/stage-2/pause.go
@@ -15,17 +15,16 @@
 	quotaWindow    = 8 * time.Second
 	quotaOverrun   = 0.1
 	quotaAllowance = 110_000
-	// hosts is the number of machines of a small deployment, and usualPerHost how many requests each gets a second
-	// from the tenant, which then sends hotFactor times as many for hotTime.
-	hotTime   = 10 * time.Second
+	// The tenant sends its usual requests for usualTime, and after a pause many times as many for hotTime.
 	usualTime = 12 * time.Second
+	hotTime   = 10 * time.Second
 )
 
 var (
-	hosts        = flag.Int("hosts", 3, "machines of the system")
-	usualPerHost = flag.Int("usual", 7, "requests a second at each")
-	hotFactor    = flag.Int("hot", 5, "factor")
-	pauseTime    = flag.Duration("pause", 50*time.Second, "pause")
+	hosts        = flag.Int("hosts", 2, "machines of the system")
+	usualPerHost = flag.Int("usual", 10, "usual requests a second at each")
+	hotFactor    = flag.Int("hot", 7, "how many times its usual the tenant sends")
+	pauseTime    = flag.Duration("pause", 50*time.Second, "how long the tenant pauses")
 )
 
 func init() { cases["10"] = playPause }
