--- a/review/stage-2/cut.go
+++ b/review/stage-2/cut.go
@@ -10,17 +10,17 @@
 
 const (
 	// cutTime is how long the regions are cut off from each other.
-	cutTime = 48 * time.Second
+	cutTime = 44 * time.Second
 	// crowdPerDaemon is how many requests a second each daemon gets while one tenant sends many times its usual.
 	crowdPerDaemon = 30
 	// crowdTime is how long the tenant sends that much.
-	crowdTime = 2 * quotaWindow
+	crowdTime = 11 * time.Second
 )
 
-func init() { cases["cut"] = playCut }
+func init() { cases["10"] = playCut }
 
-// playCut cuts the daemons of one region off from those of the other for a while, in which one tenant sends
-// many times its usual.
+// playCut cuts the daemons of one region off from those of the other, and lets one tenant send many times its usual
+// before the end of the cut.
 func playCut(s *stage, trouble bool) (bool, error) {
 	links := s.useLinks("z0")
 	for i := range 3 {
--- a/review/stage-2/main.go
+++ b/review/stage-2/main.go
@@ -38,6 +38,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
+	s.endOnSignal()
 	broken, err := play(s, *trouble)
 	if cerr := s.close(); cerr != nil && err == nil {
 		err = cerr
--- a/review/stage-2/pause.go
+++ b/review/stage-2/pause.go
@@ -27,7 +27,7 @@
 	pauseTime    = flag.Duration("pause", 50*time.Second, "how long the tenant pauses")
 )
 
-func init() { cases["10"] = playPause }
+func init() { cases["9"] = playPause }
 
 // playPause lets a tenant send its usual requests, pause, and then send many times its usual.
 func playPause(s *stage, trouble bool) (bool, error) {
@@ -64,7 +64,7 @@
 			runs = append(runs, r.At)
 		}
 	}
-	sortTimes(runs)
+	slices.SortFunc(runs, time.Time.Compare)
 	bound := (tenantRate*quotaWindow.Seconds()+tenantRate)*(1+quotaOverrun) + quotaAllowance
 	most, at, first := 0, time.Time{}, 0
 	for i, t := range runs {
@@ -78,6 +78,3 @@
 	s.log("most tokens within %s: %d, from %.3f on; at most %.0f may run", quotaWindow, most, at.Sub(s.start).Seconds(), bound)
 	return float64(most) > bound
 }
-
-// sortTimes sorts times, the earliest first.
-func sortTimes(times []time.Time) { slices.SortFunc(times, time.Time.Compare) }
--- a/review/stage-2/replacements.go
+++ b/review/stage-2/replacements.go
@@ -30,7 +30,7 @@
 // replacements is the number of machines that were replaced, one after the other.
 var replacements = flag.Int("replacements", 40, "machines that were replaced")
 
-func init() { cases["9"] = playReplacements }
+func init() { cases["8"] = playReplacements }
 
 // catalogDoc is a configuration whose allowances count tokens, as those of the deployments do.
 func catalogDoc(version int) map[string]any {
--- a/review/stage-2/rollback.go
+++ b/review/stage-2/rollback.go
@@ -3,8 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"pomelotiller/internal/standin/caller"
 	"pomelotiller/internal/standin/responder"
 	"pomelotiller/internal/standin/steward"
 )
@@ -27,7 +31,7 @@
 	drainTime  = 2 * time.Second
 )
 
-func init() { cases["8"] = playRollBack }
+func init() { cases["6"] = playRollBack }
 
 // moveOrder is the operator's order to move a service to a version.
 type moveOrder struct {
@@ -163,3 +167,30 @@
 	}
 	return n
 }
+
+// sendRoutes sends requests to all daemons, on the path that pick returns, until the returned function is called.
+func (s *stage) sendRoutes(pick func(d *daemon) string) (stop func()) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	var number atomic.Int64
+	for _, d := range s.daemons {
+		for range workersPerDaemon {
+			wg.Go(func() {
+				tick := time.NewTicker(time.Second / requestsPerWorker)
+				defer tick.Stop()
+				for {
+					select {
+					case <-done:
+						return
+					case <-tick.C:
+						s.send(d, "ficu95.example", "kept", 600*time.Millisecond, caller.Request{ID: fmt.Sprintf("r%d", number.Add(1)), Method: http.MethodPost, Path: pick(d), Body: "x"})
+					}
+				}
+			})
+		}
+	}
+	return sync.OnceFunc(func() {
+		close(done)
+		wg.Wait()
+	})
+}
--- a/review/stage-2/stage.go
+++ b/review/stage-2/stage.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -70,8 +71,8 @@
 	mu        sync.Mutex
 	record    *os.File
 	daemons   []*daemon
+	started   []*daemon
 	endpoints []*responder.Endpoint
-	plains    []*plain
 }
 
 // daemon is one process of the product.
@@ -197,6 +198,8 @@
 	fields["cloud_api"] = map[string]any{"address": s.address, "duties": []any{"usage"}}
 	d.fields = fields
 	if s.links != nil {
+		fields["zones"] = map[string]any{"z0": "north", "z1": "south", "z2": "south"}
+		fields["region"] = fields["zones"].(map[string]any)[fields["zone"].(string)]
 		advertise, err := s.links.open(d, net.JoinHostPort(ip, sharedPort(3)))
 		if err != nil {
 			return nil, err
@@ -244,6 +247,9 @@
 		return err
 	}
 	d.cmd, d.done, d.out = cmd, make(chan struct{}), out
+	s.mu.Lock()
+	s.started = append(s.started, d)
+	s.mu.Unlock()
 	go func(done chan struct{}) {
 		err := cmd.Wait()
 		s.log("process of %s ended: %v", d.name, err)
@@ -330,17 +336,33 @@
 	return out
 }
 
-// close ends all processes and writes the runs of the endpoints to the record.
-func (s *stage) close() error {
-	for _, d := range s.daemons {
-		if d.cmd == nil {
-			continue
-		}
+// endOnSignal ends the play, and all processes that it started, when this process is told to stop.
+func (s *stage) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		s.endProcesses()
+		os.Exit(exitNotRun)
+	}()
+}
+
+// endProcesses kills the processes of all daemons.
+func (s *stage) endProcesses() {
+	s.mu.Lock()
+	started := append([]*daemon(nil), s.started...)
+	s.mu.Unlock()
+	for _, d := range started {
 		// Both calls fail only if the process has ended.
 		_ = d.cmd.Process.Signal(syscall.SIGCONT)
 		_ = d.cmd.Process.Kill()
 		<-d.done
 	}
+}
+
+// close ends all processes and writes the runs of the endpoints to the record.
+func (s *stage) close() error {
+	s.endProcesses()
 	var errs []error
 	for _, e := range s.endpoints {
 		for _, r := range e.Runs() {
@@ -349,12 +371,6 @@
 		// An endpoint may be closed already.
 		_ = e.Close()
 	}
-	for _, p := range s.plains {
-		for _, a := range p.list() {
-			s.log("arrival at %s, version %s, of %s %s at %.3f, answered %d", p.id, p.version, a.id, a.path, a.at.Sub(s.start).Seconds(), a.status)
-		}
-		errs = append(errs, p.server.Close())
-	}
 	errs = append(errs, s.server.Close(), s.record.Close())
 	if os.Getenv("KEEP") == "" {
 		errs = append(errs, os.RemoveAll(s.dir))
