Review case 7: silent channels in place of a slow store

An operator who waits for each ack can't send a change each 60 ms to a store whose answers take 352 ms, so the backlog of the watch now comes from channels to the store that go silent as the storm begins.

--- a/review/stage-2/stage.go
+++ b/review/stage-2/stage.go
@@ -63,8 +63,8 @@
 	server   *http.Server
 	address  string
 	template string
-	// delay is how long each answer of the platform takes, in nanoseconds.
-	delay atomic.Int64
+	// silentAt is when the channels to the platform that were open went silent, in Unix nanoseconds.
+	silentAt atomic.Int64
 	// links are the proxies between the daemons; nil if there are none.
 	links *links
 
@@ -104,16 +104,22 @@
 		return nil, err
 	}
 	s.address = l.Addr().String()
-	s.serve(l, s.delayAnswers(s.platform.Handler()))
+	s.serve(l, s.silenceChannels(s.platform.Handler()))
 	return s, nil
 }
 
-// delayAnswers returns a handler whose answers take as long as setDelay says.
-func (s *stage) delayAnswers(h http.Handler) http.Handler {
+// openedKey is the key of the time at which the channel of a request was opened.
+type openedKey struct{}
+
+// silenceChannels returns a handler that answers nothing on channels that were open when they went silent.
+func (s *stage) silenceChannels(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		answer := httptest.NewRecorder()
 		h.ServeHTTP(answer, r)
-		time.Sleep(time.Duration(s.delay.Load()))
+		if opened, ok := r.Context().Value(openedKey{}).(time.Time); ok && opened.UnixNano() < s.silentAt.Load() {
+			<-r.Context().Done()
+			return
+		}
 		maps.Copy(w.Header(), answer.Header())
 		w.WriteHeader(answer.Code)
 		// A write fails only if the daemon has disconnected.
@@ -121,15 +127,20 @@
 	})
 }
 
-// setDelay sets how long each answer of the platform takes.
-func (s *stage) setDelay(d time.Duration) {
-	s.log("the answers of the platform take %s", d)
-	s.delay.Store(int64(d))
+// silence makes the open channels to the platform go silent for good. New ones work.
+func (s *stage) silence() {
+	s.log("the open channels to the platform go silent")
+	s.silentAt.Store(time.Now().UnixNano())
 }
 
 // serve serves the platform on a listener.
 func (s *stage) serve(l net.Listener, h http.Handler) {
-	s.server = &http.Server{Handler: h, ReadHeaderTimeout: endTimeout}
+	s.server = &http.Server{
+		Handler: h, ReadHeaderTimeout: endTimeout,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, openedKey{}, time.Now())
+		},
+	}
 	go func() {
 		if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			s.log("the platform ended: %v", err)
--- a/review/stage-2/storm.go
+++ b/review/stage-2/storm.go
@@ -16,22 +16,15 @@
 var (
 	stormChanges = flag.Int("changes", 25, "configurations in quick succession")
 	stormGap     = flag.Duration("gap", 60*time.Millisecond, "time between two of them")
-	slowAnswer   = flag.Duration("slow", 88*answerTime, "time that an answer of the slow store takes")
 	moreRoutes   = flag.Int("routes", 1680, "routes by which the configuration has grown")
 )
 
-const (
-	// answerTime is how long an answer of the store takes, and slowTime how long the store is slow.
-	answerTime = 4 * time.Millisecond
-	slowTime   = 6 * time.Second
-)
-
 // historyTime is how long the store keeps its history.
 const historyTime = 20 * time.Second
 
 func init() { cases["7"] = playStorm }
 
-// playStorm sends large configurations in quick succession. The last one adds a route and drops a key.
+// playStorm sends large configurations in quick succession as the open channels to the store go silent. The last one adds a route and drops a key.
 func playStorm(s *stage, trouble bool) (bool, error) {
 	for i := range 3 {
 		for _, service := range []string{"huvo11a", "wuno96b"} {
@@ -44,17 +37,14 @@
 	if err := s.publish(largeCatalog(version, false)); err != nil {
 		return false, err
 	}
-	s.setDelay(answerTime)
 	if err := s.addDaemons(3); err != nil {
 		return false, err
 	}
 	time.Sleep(contactTime + time.Second)
 	changes, over := 1, time.Now()
 	if trouble {
-		changes, over = *stormChanges, time.Now().Add(slowTime)
-		s.setDelay(*slowAnswer)
-		time.AfterFunc(slowTime, func() { s.setDelay(answerTime) })
-		time.Sleep(time.Second)
+		changes = *stormChanges
+		s.silence()
 	}
 	for i := range changes {
 		version += 3
@@ -66,7 +56,7 @@
 		}
 	}
 	time.AfterFunc(historyTime, s.platform.Compact)
-	// Until then the store is slow or was so of late, and no machine in touch.
+	// Until then the channels of all machines went silent of late, and none is in touch.
 	from := time.Now().Add(configApply)
 	if inTouch := over.Add(contactTime); inTouch.After(from) {
 		from = inTouch
