Reject answers with a status that no answer has

Callers got an answer that was not the endpoint's: after a head with status 000, whatever followed on the connection. Engine clients took 000 for the success of an order, a cancellation or an import, and clients of the platform returned it as an answer.

Cause: net/http parses any three digits, and "+99" and "-00", as a status. The carrier took all below 200 for interim answers and read on; `inferrer` took all below 300 for success. Each client judged the status for itself.

Change: `remote/validator` checks the heads of answers as their bytes arrive on a connection, below the parser: `dialer` (carrier), `inferrer`, `requester` and `recorder` all read through it. A status has three digits from 100 on and is not 101, since no request asks for another protocol. What fails is an answer that broke off: tried again where the request may be, else 502, and the outcome counts as broken.

TestServiceAnswerWithBrokenHead passed before: orders and status look-ups were safe.

--- a/internal/remote/inferrer/client.go
+++ b/internal/remote/inferrer/client.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"pomelotiller/internal/remote/rationer"
+	"pomelotiller/internal/remote/validator"
 )
 
 const (
@@ -66,7 +67,7 @@
 	return &http.Client{
 		// Do not follow redirects, since that would send an attempt twice.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport: &http.Transport{
+		Transport: validator.NewTransport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}).DialContext,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     30 * time.Second,
@@ -74,7 +75,7 @@
 			DisableKeepAlives:   fresh,
 
 			MaxResponseHeaderBytes: rationer.MaxHeaderBytes,
-		},
+		}),
 	}
 }
 
--- a/internal/remote/requester/requester.go
+++ b/internal/remote/requester/requester.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"pomelotiller/internal/remote/rationer"
+	"pomelotiller/internal/remote/validator"
 )
 
 const (
@@ -46,10 +47,10 @@
 	if cfg.MaxAnswerBytes == 0 {
 		cfg.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
-	t := &http.Transport{
+	t := validator.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: rationer.MaxHeaderBytes,
-	}
+	})
 	return &Client{cfg: cfg, http: &http.Client{
 		Transport: t,
 		// A redirect would send a call again, to an address that the settings do not name.
--- /dev/null
+++ b/internal/remote/validator/transport.go
@@ -0,0 +1,45 @@
+package validator
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport is an http.RoundTripper whose connections check the answers. Use New to create one.
+type Transport struct {
+	base *http.Transport
+}
+
+// NewTransport returns a transport with the settings of base, which must not be used for TLS.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base = base.Clone()
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c), nil
+	}
+	return &Transport{base}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), &answerTrace)))
+}
+
+// CloseIdleConnections closes the idle connections, also if called by an http.Client.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// answerTrace has each connection expect an answer as it is taken for a request. A fault is reported by the read.
+var answerTrace = httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+	if c, ok := i.Conn.(*Conn); ok {
+		_ = c.ExpectAnswer(nil)
+	}
+}}
--- /dev/null
+++ b/internal/standin/garbler/garbler.go
@@ -0,0 +1,78 @@
+// Package garbler simulates HTTP servers in trouble for tests: their answers are broken.
+package garbler
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+)
+
+// Head is what is broken in the head of an answer.
+type Head struct {
+	// Status is the status line without the version.
+	Status string
+	// Lines are lines that follow the sound fields, each with its end.
+	Lines string
+}
+
+// Format returns the head of an answer with some sound fields, each with its end.
+func (h Head) Format(fields string) string {
+	return "HTTP/1.1 " + h.Status + "\r\n" + fields + h.Lines + "\r\n"
+}
+
+// OddStatuses returns heads with a status that no sound server sends in answer to a request of the daemon.
+func OddStatuses() []Head {
+	var heads []Head
+	for _, status := range []string{"000 Odd", "000", "001 Odd", "099 Odd", "-00 Odd", "+99 Odd", "101 Switching Protocols"} {
+		heads = append(heads, Head{Status: status})
+	}
+	return heads
+}
+
+// BrokenHeads returns all heads that are broken.
+func BrokenHeads() []Head { return OddStatuses() }
+
+// Answer returns the bytes that answer a request.
+type Answer func(r *http.Request) string
+
+// Listen answers each request that arrives at a free loopback port, until the listener is closed.
+func Listen(answer Answer) (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	go Serve(l, answer)
+	return l, nil
+}
+
+// Serve answers each request that arrives at a listener and closes its connection, until the listener is closed.
+func Serve(l net.Listener, answer Answer) {
+	serveConns(l, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		// The kernel resets a connection that is closed with unread bytes.
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		// A client that rejects the answer may have closed the connection.
+		_, _ = io.WriteString(c, answer(r))
+	})
+}
+
+// serveConns serves each connection in a goroutine, and closes it then.
+func serveConns(l net.Listener, serve func(c net.Conn)) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			serve(c)
+		}()
+	}
+}
--- a/internal/traffic/carrier/readheader.go
+++ b/internal/traffic/carrier/readheader.go
@@ -45,7 +45,7 @@
 // marks the endpoint as leaving if any of their headers says so.
 func (a *answer) readResponse(req *http.Request) (*http.Response, error) {
 	for {
-		res, err := http.ReadResponse(a.conn.Reader, req)
+		res, err := a.conn.ReadResponse(req)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/traffic/dialer/dialer.go
+++ b/internal/traffic/dialer/dialer.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -17,6 +18,7 @@
 
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/remote/rationer"
+	"pomelotiller/internal/remote/validator"
 )
 
 const (
@@ -51,8 +53,8 @@
 
 // Conn is a connection to an endpoint that carries one request at a time.
 type Conn struct {
-	net.Conn
-	// Reader reads from the connection; it must be used for all reads.
+	*validator.Conn
+	// Reader reads from the connection; it must be used for all reads, and ReadResponse for heads of answers.
 	Reader *bufio.Reader
 	// limitedReader is the source of Reader.
 	limitedReader *limitedReader
@@ -90,6 +92,18 @@
 // buffered; negative is no limit.
 func (c *Conn) LimitReads(n int64) { c.limitedReader.remaining = n }
 
+// ReadResponse reads the head of an answer to a request, or of an interim one.
+func (c *Conn) ReadResponse(req *http.Request) (*http.Response, error) {
+	buffered, err := c.Reader.Peek(c.Reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.ExpectAnswer(buffered); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.Reader, req)
+}
+
 // Config configures a Pool.
 type Config struct {
 	// Timeout bounds the time to open a connection.
@@ -189,9 +203,10 @@
 		return nil, fmt.Errorf("connect to endpoint %s: %w", t.Instance, err)
 	}
 	meter.AddToCounter(p.cfg.Registry, 1, "endpoint_connections_total")
-	silence := &silenceReader{Conn: nc}
+	c := validator.NewConn(nc)
+	silence := &silenceReader{Conn: c}
 	l := &limitedReader{silence, -1}
-	return &Conn{Conn: nc, Reader: bufio.NewReaderSize(l, readBufferBytes), limitedReader: l, silence: silence, target: t}, nil
+	return &Conn{Conn: c, Reader: bufio.NewReaderSize(l, readBufferBytes), limitedReader: l, silence: silence, target: t}, nil
 }
 
 // PutIdle returns a connection to the pool after a complete answer. idleTimeout is the time after
@@ -216,7 +231,7 @@
 // Abort closes a connection whose request is cancelled. It resets the connection, so that bytes of
 // the request that are not sent yet are dropped and do not reach the endpoint later.
 func (p *Pool) Abort(c *Conn) {
-	if tc, ok := c.Conn.(*net.TCPConn); ok {
+	if tc, ok := c.Conn.Conn.(*net.TCPConn); ok {
 		// SetLinger fails only if the connection is closed already.
 		_ = tc.SetLinger(0)
 	}
@@ -266,7 +281,7 @@
 
 // isClean reports whether an idle connection is open and no unsolicited bytes arrived on it.
 func (c *Conn) isClean() bool {
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/traffic/recorder/answer_test.go
+++ b/internal/traffic/recorder/answer_test.go
@@ -11,6 +11,7 @@
 	"testing"
 
 	"pomelotiller/internal/remote/inferrer"
+	"pomelotiller/internal/standin/garbler"
 	"pomelotiller/internal/traffic/refuser"
 )
 
@@ -110,6 +111,28 @@
 	}
 }
 
+// TestServiceAnswerWithBrokenHead has a service answer an order, and a status look-up, with a broken head.
+func TestServiceAnswerWithBrokenHead(t *testing.T) {
+	const report = `{"state":"done"}`
+	for _, h := range garbler.BrokenHeads() {
+		l, err := garbler.Listen(func(*http.Request) string {
+			return h.Format(fmt.Sprintf("%sContent-Length: %d\r\n", testEcho, len(report))) + report
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		a, err := sendTestOrder(t, http.MethodPost, l.Addr().String())
+		var sendErr *SendError
+		if !errors.As(err, &sendErr) || sendErr.RunState != refuser.Unknown {
+			t.Errorf("head %+q: got answer %+v (%v), want an error with run state unknown", h, a, err)
+		}
+		if r, err := (HTTPServices{}).Status(t.Context(), l.Addr().String(), "/status"); err == nil {
+			t.Errorf("head %+q: got report %+v (%v), want an error", h, r, err)
+		}
+	}
+}
+
 // TestReportWithImpossibleStatus has a status look-up report an answer with a status that no
 // caller can be sent.
 func TestReportWithImpossibleStatus(t *testing.T) {
--- a/internal/traffic/recorder/sender.go
+++ b/internal/traffic/recorder/sender.go
@@ -15,6 +15,7 @@
 
 	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/remote/rationer"
+	"pomelotiller/internal/remote/validator"
 	"pomelotiller/internal/traffic/refuser"
 	"pomelotiller/internal/traffic/throttler"
 )
@@ -81,7 +82,7 @@
 	if err != nil {
 		return Report{}, fmt.Errorf("status look-up: %w", err)
 	}
-	res, err := (&http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: rationer.MaxHeaderBytes}).RoundTrip(req)
+	res, err := newTransport(nil).RoundTrip(req)
 	if err != nil {
 		return Report{}, fmt.Errorf("status look-up: %w", err)
 	}
@@ -99,6 +100,16 @@
 	return p, nil
 }
 
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// newTransport returns a transport for one call. A nil dial is that of net/http.
+func newTransport(dial dialFunc) http.RoundTripper {
+	return validator.NewTransport(&http.Transport{
+		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: rationer.MaxHeaderBytes, DialContext: dial,
+	})
+}
+
 // Connection is a new TCP connection to an endpoint that sends one order over HTTP.
 type Connection struct {
 	conn    net.Conn
@@ -138,7 +149,7 @@
 func (c *Connection) Send(ctx context.Context, o Order, header http.Header) (Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: rationer.MaxHeaderBytes, DialContext: singleUseDialer(writeTrackingConn{c.conn, &c.writeStarted})}
+	t := newTransport(singleUseDialer(writeTrackingConn{c.conn, &c.writeStarted}))
 	req, err := http.NewRequestWithContext(ctx, o.Request.Method, "http://"+c.address+o.Request.Path, io.NopCloser(bytes.NewReader(o.Request.Body)))
 	if err != nil {
 		return Answer{}, &SendError{RunState: refuser.NotRun, Err: err}
@@ -169,7 +180,7 @@
 
 // singleUseDialer returns a dial function that returns conn on the first call and fails afterwards,
 // so that the transport cannot retry.
-func singleUseDialer(conn net.Conn) func(context.Context, string, string) (net.Conn, error) {
+func singleUseDialer(conn net.Conn) dialFunc {
 	used := false
 	return func(context.Context, string, string) (net.Conn, error) {
 		if used {
