Reject answers with a blank or a control character in a field name

Callers got answers in whose head a name held a blank or began with a control character, with the line passed on within the value before it, or with a body that was not the endpoint's: after "Content-Length : 10" or " Content-Length: 10" all bytes up to the end of the connection, after "Transfer-Encoding : chunked" the chunks with their sizes.

Cause: net/http takes a name with a blank for a name of another field, a line that begins with a blank or a tab for the rest of the line before it, and a line feed alone for the end of the head.

Change: `validator` rejects blanks and control characters in names, and with them lines that continue a field, which no sender may send (RFC 9112, 5.2). The blank line that ends a head must end as the status line does, so that "\nName" is a name. One rule for all who read answers, in interim and foreign heads too.

Evidence: on 26 of the 72 cases of TestFieldNameOfNoAnswer fail (the others are rejected by net/http), and so do TestBrokenHeadsOfAnEngine, TestBrokenHeads and TestServiceAnswerWithBrokenHead: orders were recorded with such an answer, and status look-ups believed. All pass now.

--- a/internal/remote/validator/head.go
+++ b/internal/remote/validator/head.go
@@ -14,14 +14,20 @@
 	// partBody is all that is not part of a head.
 	partBody part = iota
 	partStatusLine
-	// partLine is a line with a field, or the blank line.
-	partLine
+	// partLineStart is the first byte of a field or of the blank line.
+	partLineStart
+	partName
+	partValue
+	// partBlankLine is the blank line after its carriage return.
+	partBlankLine
 )
 
 const (
 	// statusLineBytes is how much of a status line is kept, which has the status within its first 12 bytes.
 	statusLineBytes = 32
 	minStatus       = 100
+	// asciiDelete is the control character above the printable ones.
+	asciiDelete = 0x7f
 )
 
 // headChecker checks the head of an answer, and of the interim answers before it, as their bytes arrive. The parser of
@@ -31,8 +37,8 @@
 	// statusLine is the start of the status line, and status the number in it.
 	statusLine []byte
 	status     int
-	// isBlank says that the line has no bytes so far.
-	isBlank bool
+	// hasCR says that the status line ends with a carriage return and a line feed, not with a line feed alone.
+	hasCR bool
 }
 
 func newHeadChecker() headChecker { return headChecker{part: partStatusLine} }
@@ -54,15 +60,19 @@
 	switch h.part {
 	case partStatusLine:
 		return h.checkStatusLine(c)
-	case partLine:
-		if c != '\n' {
-			h.isBlank = h.isBlank && c == '\r'
-			break
+	case partLineStart:
+		return h.checkLineStart(c)
+	case partName:
+		return h.checkName(c)
+	case partValue:
+		if c == '\n' {
+			h.part = partLineStart
 		}
-		if h.isBlank {
-			h.endHead()
+	case partBlankLine:
+		if c != '\n' {
+			return fmt.Errorf("%w: field name begins with a carriage return", ErrMalformed)
 		}
-		h.isBlank = true
+		h.endHead()
 	}
 	return nil
 }
@@ -70,6 +80,7 @@
 // checkStatusLine keeps the start of the status line and checks it at its end.
 func (h *headChecker) checkStatusLine(c byte) error {
 	if c != '\n' {
+		h.hasCR = c == '\r'
 		if len(h.statusLine) < statusLineBytes {
 			h.statusLine = append(h.statusLine, c)
 		}
@@ -80,7 +91,7 @@
 	if h.status, ok = parseStatus(line); !ok {
 		return fmt.Errorf("%w: status line %q", ErrMalformed, line)
 	}
-	h.part, h.isBlank = partLine, true
+	h.part = partLineStart
 	return nil
 }
 
@@ -94,6 +105,33 @@
 	return status, err == nil && len(digits) == 3 && status >= minStatus && status != http.StatusSwitchingProtocols
 }
 
+// checkLineStart checks the first byte of a line. A blank one would continue the field before it, which a sender must
+// not do. The blank line that ends the head has the line end of the status line: another one is part of a name.
+func (h *headChecker) checkLineStart(c byte) error {
+	switch {
+	case c == '\r' && h.hasCR:
+		h.part = partBlankLine
+		return nil
+	case c == '\n' && !h.hasCR:
+		h.endHead()
+		return nil
+	}
+	h.part = partName
+	return h.checkName(c)
+}
+
+// checkName rejects blanks and control characters in the name of a field (RFC 9110, 5.1). net/http takes a name with a
+// blank for another field, so that a length or a transfer coding is not seen.
+func (h *headChecker) checkName(c byte) error {
+	switch {
+	case c == ':':
+		h.part = partValue
+	case c <= ' ' || c == asciiDelete:
+		return fmt.Errorf("%w: %q in a field name", ErrMalformed, c)
+	}
+	return nil
+}
+
 // endHead ends a head. That of an interim answer is followed by another one.
 func (h *headChecker) endHead() {
 	if h.status < http.StatusOK {
--- a/internal/standin/garbler/garbler.go
+++ b/internal/standin/garbler/garbler.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 )
 
 // Head is what is broken in the head of an answer.
@@ -31,8 +32,20 @@
 	return heads
 }
 
+// OddNames returns heads with a field whose name holds a blank or a control character, or begins with one.
+func OddNames() []Head {
+	var heads []Head
+	for _, name := range []string{
+		"X Odd", "X-Odd ", " X-Odd", " ", "\tX-Odd", "X-Odd\t", "X\tOdd", "\x00X-Odd", "X\x00Odd", "X\x01Odd", "\x1fX-Odd", "X\x7fOdd",
+		"X\vOdd", "X\rOdd", "\rX-Odd", "X\nOdd", "\nX-Odd",
+	} {
+		heads = append(heads, Head{Status: "200 OK", Lines: "X-Even: v\r\n" + name + ": v\r\n"})
+	}
+	return heads
+}
+
 // BrokenHeads returns all heads that are broken.
-func BrokenHeads() []Head { return OddStatuses() }
+func BrokenHeads() []Head { return slices.Concat(OddStatuses(), OddNames()) }
 
 // Answer returns the bytes that answer a request.
 type Answer func(r *http.Request) string
