Report a reset to readers if only the write was told

Callers got a part of an answer as a complete one: an endpoint answers a long upload at once with a 200 that has neither a length nor chunks, sends part of the body and resets the connection while the upload is still being written.

Cause: the kernel reports a reset once. If the blocked write gets it, the next read sees a regular end of the connection, which ends such an answer. The result of the write was only used to decide whether the connection is reused.

Change: `validator.Conn` knows how its writes ended. A read that sees the end of the connection waits for a write in progress and returns its error. All who read answers use that connection, so no client compares the two itself.

An endpoint may answer early, close its sending side and read the request to its end: that answer is whole (TestEarlyAnswerThatEnds). If it reads no more, nothing tells the answer from a cut one, and it fails once the request's time is up; it was taken as whole before.

--- a/internal/remote/validator/validator.go
+++ b/internal/remote/validator/validator.go
@@ -4,7 +4,10 @@
 package validator
 
 import (
+	"cmp"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"sync"
 )
@@ -12,10 +15,15 @@
 // ErrMalformed is the error of an answer whose head no sound endpoint sends.
 var ErrMalformed = errors.New("malformed answer")
 
-// Conn is a connection that carries one request at a time, in plain HTTP/1. It checks the heads of the answers.
+// Conn is a connection that carries one request at a time, in plain HTTP/1. It checks the heads of the answers, and
+// tells those who read of errors that only those who write were told.
 type Conn struct {
 	net.Conn
 
+	// writing is held during a write. It guards writeErr, the error of the last one that failed.
+	writing  sync.Mutex
+	writeErr error
+
 	// mu guards head and err, since Transport begins a request while it reads in another goroutine.
 	mu   sync.Mutex
 	head headChecker
@@ -40,12 +48,15 @@
 }
 
 // Read implements net.Conn. It returns the bytes before a fault, none of which ends a head, and then an error that
-// wraps ErrMalformed.
+// wraps ErrMalformed. The connection ends without an error only if none of its writes failed.
 func (c *Conn) Read(p []byte) (int, error) {
 	if err := c.fault(); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(c.waitForWrite(), err)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	sound, fault := c.head.check(p[:n])
@@ -59,6 +70,29 @@
 	return sound, nil
 }
 
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// waitForWrite waits for a write in progress, and returns an error if any write failed. The kernel reports a reset once:
+// if a blocked write gets it, reads see a regular end of the connection, and an answer without a length or chunks
+// would look complete. A write that goes on after the end of the connection ends by its own time limits.
+func (c *Conn) waitForWrite() error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr != nil {
+		return fmt.Errorf("the request was not sent completely: %w", c.writeErr)
+	}
+	return nil
+}
+
 // fault returns the error of a head that was read.
 func (c *Conn) fault() error {
 	c.mu.Lock()
--- a/internal/standin/garbler/garbler.go
+++ b/internal/standin/garbler/garbler.go
@@ -1,4 +1,5 @@
-// Package garbler simulates HTTP servers in trouble for tests: their answers are broken.
+// Package garbler simulates HTTP servers in trouble for tests: their answers are broken, or they break off before they
+// have read the request.
 package garbler
 
 import (
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"time"
 )
 
 // Head is what is broken in the head of an answer.
@@ -89,3 +91,50 @@
 		}()
 	}
 }
+
+const (
+	// receiveBufferBytes is the receive buffer of a server that does not read, so that its client soon blocks.
+	receiveBufferBytes = 4 << 10
+	// resetDelay is the time in which a client reads an answer before its connection is reset.
+	resetDelay = 5 * time.Millisecond
+)
+
+// ServeAndReset answers each request that arrives at a listener without reading its body, and then resets the
+// connection, until the listener is closed. The body must be larger than the buffers of both sides, tens of megabytes,
+// for the client to be still writing it.
+func ServeAndReset(l net.Listener, answer Answer) {
+	serveConns(l, func(c net.Conn) {
+		t := c.(*net.TCPConn)
+		// An error means that the connection is closed already.
+		_ = t.SetReadBuffer(receiveBufferBytes)
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer(r))
+		time.Sleep(resetDelay)
+		// With a linger time of 0, the close that follows resets the connection.
+		_ = t.SetLinger(0)
+	})
+}
+
+// ServeEarly answers each request that arrives at a listener and closes its sending side before it reads the body. It
+// then reads the body and closes the connection. If reads is false, it does neither until the listener is closed.
+func ServeEarly(l net.Listener, answer Answer, reads bool) {
+	closed := make(chan struct{})
+	defer close(closed)
+	serveConns(l, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		// Errors mean that the client has closed the connection.
+		_, _ = io.WriteString(c, answer(r))
+		_ = c.(*net.TCPConn).CloseWrite()
+		if reads {
+			_, _ = io.Copy(io.Discard, r.Body)
+			return
+		}
+		<-closed
+	})
+}
