--- a/internal/remote/inferrer/client.go
+++ b/internal/remote/inferrer/client.go
@@ -273,34 +273,6 @@
 	return c.call(ctx, http.MethodPost, "/orders", bytes.NewReader(b), nil)
 }
 
-// Export implements Engine.
-func (c *Client) Export(ctx context.Context, request string) (io.ReadCloser, error) {
-	res, err := c.send(ctx, http.MethodGet, "/kv/"+url.PathEscape(request), nil)
-	if err != nil {
-		return nil, err
-	}
-	switch {
-	case res.StatusCode != http.StatusOK:
-		err = statusError(res)
-	case !IsFramed(res):
-		err = fmt.Errorf("%w: the end of the cache is not marked", ErrTruncated)
-	default:
-		return res.Body, nil
-	}
-	res.Body.Close()
-	return nil, err
-}
-
-// Import implements Engine. Only ctx bounds its duration, since a cache may take longer to send than
-// CallTimeout.
-func (c *Client) Import(ctx context.Context, request string, cache io.Reader) error {
-	res, err := c.send(ctx, http.MethodPut, "/kv/"+url.PathEscape(request), cache)
-	if err != nil {
-		return err
-	}
-	return res.Body.Close()
-}
-
 // call sends a call that is not a completion and decodes its answer into out, unless out is nil.
 func (c *Client) call(ctx context.Context, method, path string, in io.Reader, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
