Reject answers of the store that end before their body

An answer of the store that has no length and breaks off right after its head counted as an entry at revision 0, an empty list or a lease without an id: a daemon would have taken all configuration for deleted.

Cause: an empty body was accepted for each 200 and 409, since some calls expect none. Those say so by the document that they decode into.

Change: an answer is decoded whenever a document is expected, and one that is not whole JSON is ErrUnavailable.

The users' store (`platform`) decodes each answer already.

--- a/internal/remote/storer/client.go
+++ b/internal/remote/storer/client.go
@@ -161,9 +161,6 @@
 	}
 	switch a.Status {
 	case http.StatusOK, http.StatusConflict:
-		if len(a.Body) == 0 {
-			return a.Status, nil
-		}
 		if err := a.Decode(out); err != nil {
 			return a.Status, fmt.Errorf("%w: %w", ErrUnavailable, err)
 		}
