--- a/internal/traffic/recorder/answer_test.go
+++ b/internal/traffic/recorder/answer_test.go
@@ -147,3 +147,20 @@
 		}
 	}
 }
+
+// TestReportCutAtEachByte cuts the report of a status look-up, which has no length, after each of its bytes. A cut one
+// must not be recorded as the end of the order.
+func TestReportCutAtEachByte(t *testing.T) {
+	const whole = `{"state":"done","answer":"dHdlbHZl","status":201}`
+	for cut := range len(whole) + 1 {
+		l, err := garbler.Listen(func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\n" + whole[:cut] })
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := HTTPServices{}.Status(t.Context(), l.Addr().String(), "/status")
+		if isWhole := cut == len(whole); (err == nil) != isWhole {
+			t.Errorf("cut after %d of %d bytes: got report %+v (%v), want it accepted: %t", cut, len(whole), r, err, isWhole)
+		}
+		l.Close()
+	}
+}
