Name the fault of a broken head in the log

The parser got the start of the faulty line and reported what it made of it, such as a missing colon. The connection now returns whole lines before the fault, so that the attempt's line says "malformed answer" with the status line or the character.

TestBrokenHeadsFail asks for that error where a head arrives at once; its cases with field names failed before.

--- a/internal/remote/validator/head.go
+++ b/internal/remote/validator/head.go
@@ -43,14 +43,18 @@
 
 func newHeadChecker() headChecker { return headChecker{part: partStatusLine} }
 
-// check checks the next bytes, and returns how many of them come before a fault.
+// check checks the next bytes, and returns how many of them are whole lines before a fault, or all if there is none.
 func (h *headChecker) check(b []byte) (int, error) {
+	lines := 0
 	for i, c := range b {
 		if h.part == partBody {
 			break
 		}
 		if err := h.checkByte(c); err != nil {
-			return i, err
+			return lines, err
+		}
+		if c == '\n' {
+			lines = i + 1
 		}
 	}
 	return len(b), nil
--- a/internal/remote/validator/head_test.go
+++ b/internal/remote/validator/head_test.go
@@ -94,7 +94,7 @@
 	for _, h := range garbler.BrokenHeads() {
 		for _, oneByte := range []bool{false, true} {
 			raw := sound + h.Format("Content-Length: 0\r\n") + sound
-			if got, err := readAnswers(raw, oneByte); len(got) != 1 || err == nil || errors.Is(err, io.EOF) {
+			if got, err := readAnswers(raw, oneByte); len(got) != 1 || err == nil || errors.Is(err, io.EOF) || !oneByte && !errors.Is(err, ErrMalformed) {
 				t.Errorf("head %+q, single bytes %t: got answers %v (%v), want one before the error", h, oneByte, got, err)
 			}
 		}
--- a/internal/remote/validator/validator.go
+++ b/internal/remote/validator/validator.go
@@ -47,7 +47,7 @@
 	return c.err
 }
 
-// Read implements net.Conn. It returns the bytes before a fault, none of which ends a head, and then an error that
+// Read implements net.Conn. It returns the lines before a fault, none of which ends a head, and then an error that
 // wraps ErrMalformed. The connection ends without an error only if none of its writes failed.
 func (c *Conn) Read(p []byte) (int, error) {
 	if err := c.fault(); err != nil {
