Let the fault soak send broken heads

Two more faults of single answers: status 000 with a whole answer after that head, and a blank in the name of the field that states the length. On both reach callers as 200.

--- a/internal/daemon/soaker/faults_test.go
+++ b/internal/daemon/soaker/faults_test.go
@@ -48,7 +48,7 @@
 var answerFaults = []responder.Fault{
 	responder.FaultRefuse, responder.FaultError, responder.FaultReset, responder.FaultNoAnswer, responder.FaultCut, responder.FaultForeign,
 	responder.FaultExtra, responder.FaultUnframed, responder.FaultUnframedReset, responder.FaultSplit, responder.FaultStalledRefusal,
-	responder.FaultHeadCut, responder.FaultEarly, responder.FaultReject,
+	responder.FaultHeadCut, responder.FaultEarly, responder.FaultReject, responder.FaultOddStatus, responder.FaultOddName,
 }
 
 // streamFaults are the further faults that an endpoint may inject into a single stream.
--- a/internal/standin/responder/answer.go
+++ b/internal/standin/responder/answer.go
@@ -87,6 +87,12 @@
 		head := e.formatHead(id, 200, "Content-Type: text/event-stream\r\nContent-Length: 16\r\n")
 		writeString(c, head[:min(e.cfg.HeadBytes, len(head)-1)])
 		return false
+	case FaultOddStatus:
+		writeString(c, "HTTP/1.1 000 Odd\r\n\r\n"+e.formatHead(id, 200, "Content-Type: text/event-stream\r\nContent-Length: 16\r\n")+"id: 1\ndata: odd\n\n")
+		return false
+	case FaultOddName:
+		writeString(c, e.formatHead(id, 200, "Content-Type: text/event-stream\r\nContent-Length : 4\r\n")+"id: 1\ndata: odd\n\n")
+		return false
 	case FaultReject:
 		writeString(c, e.formatHead(id, 409, "Content-Length: 8\r\n")+"conflict")
 		return true
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -87,6 +87,10 @@
 	// FaultHeadCut runs the request, sends Config.HeadBytes bytes of an answer's head and closes the
 	// connection.
 	FaultHeadCut
+	// FaultOddStatus runs the request and answers with status 000, and a whole answer after that head.
+	FaultOddStatus
+	// FaultOddName runs the request and answers with a blank in the name of the field that states the length.
+	FaultOddName
 	// FaultTrickle stalls a stream in the middle and then sends single bytes that never
 	// complete an event.
 	FaultTrickle
