Give each request of a checked transport its own trace

Found by reading the change. httptrace.WithClientTrace adds the traces of a context to the one that it gets, so that one shared by all requests called those of earlier requests: an attempt whose connection failed could count as sent, and the trace grew with each request.

The server of the test moved to `garbler`, where the same lines stood.

--- a/internal/remote/validator/transport.go
+++ b/internal/remote/validator/transport.go
@@ -7,7 +7,7 @@
 	"net/http/httptrace"
 )
 
-// Transport is an http.RoundTripper whose connections check the answers. Use New to create one.
+// Transport is an http.RoundTripper whose connections check the answers. Use NewTransport to create one.
 type Transport struct {
 	base *http.Transport
 }
@@ -31,15 +31,17 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	return t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), &answerTrace)))
+	// WithClientTrace changes the trace that it gets, so each request needs one of its own.
+	trace := &httptrace.ClientTrace{GotConn: expectAnswer}
+	return t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 }
 
 // CloseIdleConnections closes the idle connections, also if called by an http.Client.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
-// answerTrace has each connection expect an answer as it is taken for a request. A fault is reported by the read.
-var answerTrace = httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+// expectAnswer has a connection expect an answer as it is taken for a request. A fault is reported by the read.
+func expectAnswer(i httptrace.GotConnInfo) {
 	if c, ok := i.Conn.(*Conn); ok {
 		_ = c.ExpectAnswer(nil)
 	}
-}}
+}
--- a/internal/remote/validator/transport_test.go
+++ b/internal/remote/validator/transport_test.go
@@ -1,16 +1,17 @@
 package validator
 
 import (
-	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"testing"
 
 	"pomelotiller/internal/standin/garbler"
 )
 
-// serveInTurn answers the requests of each connection with the given answers, in turn, and keeps it open.
+// serveInTurn starts a server that answers the requests of a connection in turn, and returns its URL.
 func serveInTurn(t *testing.T, answers ...string) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -18,28 +19,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for _, answer := range answers {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					_, _ = io.WriteString(c, answer)
-				}
-				// Returns when the client closes the connection.
-				_, _ = r.Peek(1)
-			}()
-		}
-	}()
+	go garbler.ServeInTurn(l, answers...)
 	return "http://" + l.Addr().String()
 }
 
@@ -74,3 +54,27 @@
 		client.CloseIdleConnections()
 	}
 }
+
+// The trace of one request must not be called for a later one, which has none.
+func TestTraceOfAnotherRequest(t *testing.T) {
+	const answer = "HTTP/1.1 204 No Content\r\n\r\n"
+	url := serveInTurn(t, answer, answer, answer)
+	client := http.Client{Transport: NewTransport(&http.Transport{})}
+	defer client.CloseIdleConnections()
+	traced := 0
+	traceCtx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { traced++ }})
+	for _, ctx := range []context.Context{traceCtx, t.Context(), t.Context()} {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+	}
+	if traced != 1 {
+		t.Errorf("got %d calls of the first request's trace, want 1", traced)
+	}
+}
--- a/internal/standin/garbler/garbler.go
+++ b/internal/standin/garbler/garbler.go
@@ -78,6 +78,27 @@
 	})
 }
 
+// ServeInTurn answers the requests of each connection with the given answers, in turn, and keeps it open until the
+// client closes it. It returns when the listener is closed.
+func ServeInTurn(l net.Listener, answers ...string) {
+	serveConns(l, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for _, answer := range answers {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			// An error means that the client has closed the connection, as the next read shows.
+			_, _ = io.WriteString(c, answer)
+		}
+		// Peek returns when the client closes the connection.
+		_, _ = reader.Peek(1)
+	})
+}
+
 // serveConns serves each connection in a goroutine, and closes it then.
 func serveConns(l net.Listener, serve func(c net.Conn)) {
 	for {
