--- a/internal/standin/responder/answer.go
+++ b/internal/standin/responder/answer.go
@@ -88,10 +88,10 @@
 		writeString(c, head[:min(e.cfg.HeadBytes, len(head)-1)])
 		return false
 	case FaultOddStatus:
-		writeString(c, "HTTP/1.1 000 Odd\r\n\r\n"+e.formatHead(id, 200, "Content-Type: text/event-stream\r\nContent-Length: 16\r\n")+"id: 1\ndata: odd\n\n")
+		writeString(c, "HTTP/1.1 000 Odd\r\n\r\n"+e.formatHead(id, 200, fmt.Sprintf("Content-Type: text/event-stream\r\nContent-Length: %d\r\n", len(oddEvent)))+oddEvent)
 		return false
 	case FaultOddName:
-		writeString(c, e.formatHead(id, 200, "Content-Type: text/event-stream\r\nContent-Length : 4\r\n")+"id: 1\ndata: odd\n\n")
+		writeString(c, e.formatHead(id, 200, "Content-Type: text/event-stream\r\nContent-Length : 4\r\n")+oddEvent)
 		return false
 	case FaultReject:
 		writeString(c, e.formatHead(id, 409, "Content-Length: 8\r\n")+"conflict")
@@ -120,6 +120,9 @@
 	return e.writePlain(c, id, fault)
 }
 
+// oddEvent is the body of answers whose head is broken.
+const oddEvent = "id: 1\ndata: odd\n\n"
+
 // Plain is the body of each answer of a plain service.
 const Plain = "the whole answer"
 
