Check the heads of interim answers once

Cause: before each interim answer all bytes in the buffer were checked again as a head, 320 times for a buffer of 8 KB, and each check allocated its status line. The heads behind an interim answer are checked as they arrive, so only the first head of an answer can have bytes that were not.

Change: dialer.Conn remembers that an interim answer came last; the status line is kept in place.

--- a/internal/remote/validator/head.go
+++ b/internal/remote/validator/head.go
@@ -34,8 +34,9 @@
 // net/http checks all other rules on them (RFC 9112).
 type headChecker struct {
 	part part
-	// statusLine is the start of the status line, and status the number in it.
-	statusLine []byte
+	// statusLine holds the first kept bytes of the status line, and status is the number in it.
+	statusLine [statusLineBytes]byte
+	kept       int
 	status     int
 	// hasCR says that the status line ends with a carriage return and a line feed, not with a line feed alone.
 	hasCR bool
@@ -85,12 +86,13 @@
 func (h *headChecker) checkStatusLine(c byte) error {
 	if c != '\n' {
 		h.hasCR = c == '\r'
-		if len(h.statusLine) < statusLineBytes {
-			h.statusLine = append(h.statusLine, c)
+		if h.kept < statusLineBytes {
+			h.statusLine[h.kept] = c
+			h.kept++
 		}
 		return nil
 	}
-	line := strings.TrimSuffix(string(h.statusLine), "\r")
+	line := strings.TrimSuffix(string(h.statusLine[:h.kept]), "\r")
 	var ok bool
 	if h.status, ok = parseStatus(line); !ok {
 		return fmt.Errorf("%w: status line %q", ErrMalformed, line)
--- a/internal/traffic/dialer/dialer.go
+++ b/internal/traffic/dialer/dialer.go
@@ -62,6 +62,8 @@
 	silence *silenceReader
 	// Reused is set if the connection has carried a request before.
 	Reused bool
+	// hasInterim says that the last answer was an interim one, so that its final answer is still expected.
+	hasInterim bool
 
 	target Target
 	// idleSince is when the connection became idle, usableUntil when it must no longer be used.
@@ -94,14 +96,19 @@
 
 // ReadResponse reads the head of an answer to a request, or of an interim one.
 func (c *Conn) ReadResponse(req *http.Request) (*http.Response, error) {
-	buffered, err := c.Reader.Peek(c.Reader.Buffered())
-	if err != nil {
-		return nil, err
-	}
-	if err := c.ExpectAnswer(buffered); err != nil {
-		return nil, err
+	if !c.hasInterim {
+		// What is buffered arrived behind the body of the answer before, and was not checked as a head.
+		buffered, err := c.Reader.Peek(c.Reader.Buffered())
+		if err != nil {
+			return nil, err
+		}
+		if err := c.ExpectAnswer(buffered); err != nil {
+			return nil, err
+		}
 	}
-	return http.ReadResponse(c.Reader, req)
+	res, err := http.ReadResponse(c.Reader, req)
+	c.hasInterim = err == nil && res.StatusCode < http.StatusOK
+	return res, err
 }
 
 // Config configures a Pool.
