Drop the check of the status beside the sending of orders

The connection rejects such answers for all who read them, so the rule stood twice. TestServiceAnswerWithImpossibleStatus and TestServiceAnswerWithBrokenHead hold as before. The check of the status within a look-up's report stays.

--- a/internal/traffic/recorder/sender.go
+++ b/internal/traffic/recorder/sender.go
@@ -194,7 +194,7 @@
 // errUnframed is the error of an answer that ends with its connection. A cut one looks the same.
 var errUnframed = errors.New("answer has neither a length nor chunks")
 
-// errNotFinalStatus is the error of an answer whose status no caller can be sent.
+// errNotFinalStatus is the error of a report with a status that no caller can be sent.
 var errNotFinalStatus = errors.New("status is not that of a final answer")
 
 func isFinalStatus(status int) bool { return status >= http.StatusOK && status <= 999 }
@@ -205,9 +205,6 @@
 	if !inferrer.IsFramed(res) {
 		return Answer{}, &SendError{RunState: refuser.Unknown, Err: fmt.Errorf("%w: %w", inferrer.ErrTruncated, errUnframed)}
 	}
-	if !isFinalStatus(res.StatusCode) {
-		return Answer{}, &SendError{RunState: refuser.Unknown, Err: fmt.Errorf("%w: %d", errNotFinalStatus, res.StatusCode)}
-	}
 	b, err := rationer.ReadAll(res.Body, h, maxAnswerBytes)
 	isOmitted := errors.Is(err, rationer.ErrTooLarge) || errors.Is(err, rationer.ErrFull) || err != nil && h.IsEvicted()
 	if err != nil && !isOmitted {
