Finish a move back to the version in force at once

What callers would see: in the own interface, a move published in the other direction while one runs (from the version on trial, without a share of the route, to the one that has it) sent all requests to the version on trial.

Cause: a new run begins with all traffic at `from`, whatever the route's shares are.

Change: if the route gives `from` no share and `to` one, the run is done when it begins and is not revertible, and attempts are not repeated at `from`.

--- a/internal/control/mover/mover.go
+++ b/internal/control/mover/mover.go
@@ -121,12 +121,13 @@
 	if !ok {
 		return s.record.withdraw(v.Generation, now), !s.record.Withdrawn && s.record.Step > 0, nil
 	}
+	route, _ := v.Set.Route(move.Route)
 	if s.record.Step == 0 {
-		return newRecord(move, v.Generation, now), true, nil
+		return newRecord(move, route, v.Generation, now), true, nil
 	}
 	seen := m.cfg.Follower.OutcomeTotals(name)
 	in := StepInputs{
-		Now: now, Move: move, Generation: v.Generation, NewVersionRequests: seen.New.Requests,
+		Now: now, Move: move, Route: route, Generation: v.Generation, NewVersionRequests: seen.New.Requests,
 		HasExcessFaults: seen.hasExcessFaults(faultLimits(move.Bounds)), DoubtReason: m.cfg.Follower.DoubtReason(name),
 	}
 	if _, l := m.cfg.Follower.RecordAndLatch(name); l.Run == s.record.Run {
--- a/internal/control/mover/ramp.go
+++ b/internal/control/mover/ramp.go
@@ -54,8 +54,10 @@
 
 // StepInputs are the inputs of the state machine of a move, beside its record.
 type StepInputs struct {
-	Now        time.Time
-	Move       loader.Move
+	Now  time.Time
+	Move loader.Move
+	// Route is the configured route of the move.
+	Route      loader.Route
 	Generation uint64
 	// MissingEndpoint is an endpoint that has not loaded the new version; empty if all have.
 	MissingEndpoint string
@@ -124,7 +126,7 @@
 func (r Record) applyConfigChange(in StepInputs) (Record, bool) {
 	changed := !r.By.Equal(in.Move.By)
 	if !r.belongsTo(in.Move) || r.Withdrawn || r.State == Reverted && changed && in.Generation > r.Generation {
-		next := newRecord(in.Move, in.Generation, in.Now)
+		next := newRecord(in.Move, in.Route, in.Generation, in.Now)
 		next.Step = r.Step
 		return next, true
 	}
--- a/internal/control/mover/record.go
+++ b/internal/control/mover/record.go
@@ -79,12 +79,29 @@
 	Reason    string `json:"reason,omitempty" cbor:"17,keyasint,omitempty"`
 }
 
-// newRecord returns the first record of a run.
-func newRecord(m loader.Move, generation uint64, now time.Time) Record {
-	return Record{
+// newRecord returns the first record of a run. A move to the version that has the route's traffic is done
+// at once, and not revertible: its other version may be one that an earlier move did not prove.
+func newRecord(m loader.Move, route loader.Route, generation uint64, now time.Time) Record {
+	r := Record{
 		Name: m.Name, Route: m.Route, From: m.From, To: m.To, Run: generation, Generation: generation,
 		State: Pending, By: m.By, EnteredAt: now,
 	}
+	if configuredShare(route, m.From) == 0 && configuredShare(route, m.To) > 0 {
+		r.State, r.Share, r.Released = Done, fullShare, true
+		r.Reason = fmt.Sprintf("route %q has no traffic at version %q", m.Route, m.From)
+	}
+	return r
+}
+
+// configuredShare returns the percentage of a route's traffic that the configuration gives a version.
+func configuredShare(route loader.Route, version string) float64 {
+	var sum float64
+	for _, s := range route.Versions {
+		if s.Version == version {
+			sum += s.Share
+		}
+	}
+	return sum
 }
 
 // belongsTo reports whether the record is a run of a configured move.
@@ -151,7 +168,7 @@
 	return r, nil
 }
 
-// splitShares returns a route's shares after it gives the new version a percentage of the traffic
+// splitShares returns a route's shares, that of the old version first, after it gives the new version a percentage of the traffic
 // of both versions of a move.
 func splitShares(route loader.Route, m loader.Move, share float64) []loader.Share {
 	var out []loader.Share
--- a/internal/control/mover/record_test.go
+++ b/internal/control/mover/record_test.go
@@ -14,7 +14,7 @@
 // reason fits into a gossip item, which heartbeats carry, and decodes to the same record.
 func TestRecordFitsGossip(t *testing.T) {
 	name := strings.Repeat("n", 40)
-	want := newRecord(testMove(time.Hour), 1<<40, startTime.Add(time.Nanosecond))
+	want := newRecord(testMove(time.Hour), testSet().Routes[0], 1<<40, startTime.Add(time.Nanosecond))
 	want.Name, want.Route, want.From, want.To, want.Holder = name, name, name, name, name
 	want.Step, want.Epoch, want.State, want.Share = 1<<40, 1<<40, Reverting, 12.5
 	counts := OutcomeCounts{Requests: 1 << 40, FirstLatency: LatencyCounts{Compared: 1 << 40}, TokenLatency: LatencyCounts{Compared: 1 << 40}}
--- a/internal/control/mover/shares.go
+++ b/internal/control/mover/shares.go
@@ -55,6 +55,10 @@
 			continue
 		}
 		splits[c.Route] = splitShares(route, c, m.newVersionShare(now))
+		if m.record.Released {
+			// The old version may be unloaded, so that no attempt is repeated there.
+			splits[c.Route] = splits[c.Route][1:]
+		}
 	}
 	return splits
 }
--- a/internal/control/mover/wanted.go
+++ b/internal/control/mover/wanted.go
@@ -19,7 +19,7 @@
 		case r.State == Reverted:
 			ended[m.To] = f.cfg.Now().Sub(r.EnteredAt) >= revertedDrainTime
 		case r.Released:
-			ended[m.From] = true
+			ended[m.From] = f.cfg.Now().Sub(r.EnteredAt) >= revertedDrainTime
 			wanted[m.To] = true
 		default:
 			wanted[m.To] = true
