Let the store's list of members tell who is gone

Without a restart the next new daemon refused nearly all it got.

Cause: a daemon writes its address below fleet/members/ and nothing removes it. A daemon that starts counts each address that does not answer as a member that may serve on its own, for 30 s, and leaves it a part of each allowance.

Change: an entry lives under a lease of 30 s that its daemon renews, so the store removes that of a machine that is gone; a planned stop ends it at once; a living daemon whose entry was removed writes it again. An unreachable daemon is forgotten after 30 s only if the store has no entry of it, so a daemon that is cut off from the others but reaches the store counts on. An address that never answered does not count once its entry has ended, or while its host says that no process listens there. Entries of earlier versions, without a lease, are removed by the daemon with the duty.

--- a/internal/daemon/composer/composer.go
+++ b/internal/daemon/composer/composer.go
@@ -25,7 +25,9 @@
 	"pomelotiller/internal/control/dutykeeper"
 	"pomelotiller/internal/control/roller"
 	"pomelotiller/internal/control/scaler"
+	"pomelotiller/internal/fleet/enroller"
 	"pomelotiller/internal/fleet/issuer"
+	"pomelotiller/internal/fleet/messenger"
 	"pomelotiller/internal/fleet/sharer"
 	"pomelotiller/internal/fleet/syncer"
 	"pomelotiller/internal/fleet/tracker"
@@ -135,6 +137,7 @@
 	usageCounter    *accounter.Counter
 	demandMeter     *scaler.DemandMeter
 	sharer          *sharer.Sharer
+	enroller        *enroller.Enroller
 	operatorReplica *syncer.Syncer
 	endpointReplica *syncer.Syncer
 	dutyKeeper      *dutykeeper.Keeper
@@ -217,9 +220,15 @@
 func (d *Daemon) buildFleetState() {
 	s, a := d.cfg.Settings, d.cfg.Adapter
 	d.tracker = tracker.New(tracker.Config{OnChange: d.dropRemovedEndpoints, Logger: d.logger})
+	d.enroller = enroller.New(enroller.Config{
+		Store: a.Store, Name: s.Name, Address: s.PeersAddress(), ListRead: func(addresses []string) { d.sharer.AddListedContacts(addresses...) },
+		NeedsList: func() bool { return d.sharer.HasSilentMembers() }, MayRemove: d.holdsPlatformDuty, IsReachable: func(address string) bool { return d.sharer.IsReachable(address) },
+		Logger: d.logger, Registry: d.registry,
+	})
 	d.sharer = sharer.New(sharer.Config{
 		Name: s.Name, Domain: s.Domain, Address: s.PeersAddress(), Boot: d.incarnation, Size: s.Edge.Host.Capacity(),
-		FillStatus: d.fillStatus, StatusReceived: d.receiveStatus, PeerUnreachable: d.dropPeerLoads, TotalsReceived: d.receiveTotals, ReportReceived: d.receiveReport, ObservationsReceived: func(o []sharer.Observation) { d.estimator.Add(o) }, Duty: platformDuty, Logger: d.logger, Registry: d.registry,
+		FillStatus: d.fillStatus, StatusReceived: d.receiveStatus, PeerUnreachable: d.dropPeerLoads, TotalsReceived: d.receiveTotals, ReportReceived: d.receiveReport, ObservationsReceived: func(o []sharer.Observation) { d.estimator.Add(o) }, Duty: platformDuty,
+		Presence: d.enroller.Presence, IsClosed: messenger.IsClosed, Logger: d.logger, Registry: d.registry,
 	})
 	base := syncer.Config{Store: a.Store, Peers: d.sharer, MaxAnswerAge: s.Edge.WatchWait() + freshnessMargin, Logger: d.logger, Registry: d.registry}
 	if s.Edge.First && len(s.Seeds) > 0 && !d.isSeed() {
@@ -301,7 +310,7 @@
 	d.log("msg", "started", "domain", d.cfg.Settings.Domain, "callers", d.cfg.Settings.Callers, "boot", d.incarnation, "off", strings.Join(d.cfg.Settings.Edge.Off, ","))
 	var g errgroup.Group
 	for _, f := range []func(context.Context) error{
-		d.operatorReplica.Run, d.operatorReplica.RunPull, d.endpointReplica.Run, d.endpointReplica.RunPull, d.sharer.Run, d.runPeerServer, d.runDutyKeeper,
+		d.operatorReplica.Run, d.operatorReplica.RunPull, d.endpointReplica.Run, d.endpointReplica.RunPull, d.sharer.Run, d.runPeerServer, d.enroller.Run, d.runDutyKeeper,
 		d.runCleanup, d.runMemberCounts, d.runStoreCheck, d.runSettingsReload, d.runDuties, d.runQuarantine, d.serveReadiness, d.serveOperators, d.serveMetrics, d.serveCallers,
 	} {
 		g.Go(func() error {
--- a/internal/daemon/composer/joining.go
+++ b/internal/daemon/composer/joining.go
@@ -1,10 +1,7 @@
 package composer
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
 	"net"
 	"slices"
 	"time"
@@ -12,12 +9,9 @@
 	"pomelotiller/internal/fleet/issuer"
 	"pomelotiller/internal/fleet/messenger"
 	"pomelotiller/internal/fleet/ticker"
-	"pomelotiller/internal/remote/storer"
 )
 
 const (
-	// memberPrefix is the prefix of the store keys under which daemons write their addresses.
-	memberPrefix = "fleet/members/"
 	// joinRetryDelay is the time between two attempts to join the fleet.
 	joinRetryDelay = 200 * time.Millisecond
 	// nonSeedDelay is how long a daemon that is not a seed waits at the first start of the fleet,
@@ -100,7 +94,7 @@
 		d.awaitLargeFleet(ctx)
 	}
 	for ctx.Err() == nil {
-		err := d.joinFleet(ctx)
+		err := d.enroller.Join(ctx)
 		if err == nil {
 			d.hasJoined.Store(true)
 			return
@@ -132,47 +126,3 @@
 		}
 	}
 }
-
-// joinFleet writes this daemon's address to the store and then reads those of the others. In this
-// order, at least one of two daemons that join at the same time learns the other's address.
-func (d *Daemon) joinFleet(ctx context.Context) error {
-	if err := d.announceAddress(ctx); err != nil {
-		return err
-	}
-	p, err := d.cfg.Adapter.Store.List(ctx, memberPrefix)
-	if err != nil {
-		return err
-	}
-	var others []string
-	for _, e := range p.Entries {
-		var addr string
-		if err := json.Unmarshal(e.Value, &addr); err != nil {
-			d.log("msg", "cannot decode the address of a member", "key", e.Key, "error", err)
-			continue
-		}
-		others = append(others, addr)
-	}
-	d.sharer.AddContactsDelayed(others...)
-	return nil
-}
-
-// announceAddress writes this daemon's address to the store, unless an earlier start wrote the same
-// one.
-func (d *Daemon) announceAddress(ctx context.Context) error {
-	b, err := json.Marshal(d.cfg.Settings.PeersAddress())
-	if err != nil {
-		return err
-	}
-	w := storer.Write{Key: memberPrefix + d.cfg.Settings.Name, Value: b}
-	_, err = d.cfg.Adapter.Store.Swap(ctx, w)
-	var conflict *storer.ConflictError
-	if !errors.As(err, &conflict) || len(conflict.Current.Value) == 0 {
-		return err
-	}
-	if bytes.Equal(conflict.Current.Value, b) {
-		return nil
-	}
-	w.Expect = conflict.Current.Revision
-	_, err = d.cfg.Adapter.Store.Swap(ctx, w)
-	return err
-}
--- a/internal/daemon/composer/stop.go
+++ b/internal/daemon/composer/stop.go
@@ -64,10 +64,26 @@
 		}
 		time.Sleep(min(stopPollPeriod, last-time.Since(began)))
 	}
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		d.leaveFleet(ctx)
+	}()
 	d.endServing(ctx, killMargin(grace))
+	<-left
 	d.log("msg", "drained", "in_flight", d.carrier.InFlight(), "took", time.Since(began))
 }
 
+// leaveTimeout bounds the removal of this daemon from the list of members, which otherwise ends with its
+// lease.
+const leaveTimeout = 200 * time.Millisecond
+
+func (d *Daemon) leaveFleet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	d.enroller.Leave(ctx)
+}
+
 // beginStop tells the carrier the times of a stop.
 func (d *Daemon) beginStop(began time.Time, grace time.Duration) {
 	last := grace - killMargin(grace)
--- a/internal/daemon/composer/tasks.go
+++ b/internal/daemon/composer/tasks.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"pomelotiller/internal/control/scaler"
+	"pomelotiller/internal/fleet/enroller"
 	"pomelotiller/internal/fleet/issuer"
 	"pomelotiller/internal/fleet/ticker"
 	"pomelotiller/internal/fleet/tracker"
@@ -24,7 +25,7 @@
 	// storeCheckPeriod is the time between two checks whether the store is reachable, and
 	// storeCheckKey the key that is read to find out whether an unreachable store answers again.
 	storeCheckPeriod = 500 * time.Millisecond
-	storeCheckKey    = memberPrefix + "none"
+	storeCheckKey    = enroller.KeyPrefix + "none"
 	// dutyStepPeriod is the time between two steps of each component that acts under a duty.
 	dutyStepPeriod = 200 * time.Millisecond
 	// dutyStartDelay is how long a starting daemon waits before it takes part in the election of
@@ -202,7 +203,7 @@
 // rewriteEntries writes this daemon's address and the certificate authority again. It also reads
 // the addresses of daemons that started meanwhile.
 func (d *Daemon) rewriteEntries(ctx context.Context) error {
-	if err := d.joinFleet(ctx); err != nil {
+	if err := d.enroller.Join(ctx); err != nil {
 		return err
 	}
 	if a := d.certAuthority.Load(); a != nil {
--- a/internal/fleet/sharer/exchange.go
+++ b/internal/fleet/sharer/exchange.go
@@ -15,17 +15,18 @@
 
 // sendMessages sends messages to one address. After a failure it drops the rest.
 func (s *Sharer) sendMessages(ctx context.Context, out outgoingMessages) {
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	sendCtx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	for _, b := range out.bodies {
 		var err error
 		if len(b) <= messenger.MaxDatagramBytes {
-			err = s.transport.SendDatagram(ctx, out.address, messageKind, b)
+			err = s.transport.SendDatagram(sendCtx, out.address, messageKind, b)
 		} else {
-			_, err = s.transport.Call(ctx, out.address, messageKind, b)
+			_, err = s.transport.Call(sendCtx, out.address, messageKind, b)
 		}
 		s.recordSendResult(out.address, err)
 		if err != nil {
+			s.checkClosed(ctx, out.address)
 			return
 		}
 	}
--- a/internal/fleet/sharer/members.go
+++ b/internal/fleet/sharer/members.go
@@ -40,8 +40,8 @@
 }
 
 // CountMembers returns the number of daemons there may be, including this one, and how many of them
-// are unreachable. An address that never answered counts for forgetTime, because a daemon that has
-// just started knows no more of the others.
+// are unreachable. An address that never answered counts for ForgetTime, because a daemon that has
+// just started knows no more of the others, unless it is closed or no longer listed in the store.
 func (s *Sharer) CountMembers() (members, unreachable int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -57,21 +57,19 @@
 	if !s.stopping {
 		out = append(out, s.cfg.Address)
 	}
-	known := make(map[string]bool, len(s.peers))
 	for _, p := range s.peers {
-		known[p.Address] = true
 		if !p.Stopping {
 			out = append(out, p.Address)
 		}
 	}
-	return append(out, s.unansweredContacts(known)...)
+	return append(out, s.unansweredContacts(s.peerAddresses())...)
 }
 
-// unansweredContacts returns the addresses of late that are not among the known ones.
+// unansweredContacts returns the addresses that are not among the known ones and may be those of daemons.
 func (s *Sharer) unansweredContacts(known map[string]bool) []string {
 	var out []string
 	for a, c := range s.contacts {
-		if !known[a] && time.Since(c.firstSeen) < forgetTime {
+		if !known[a] && s.mayServe(a, c) {
 			out = append(out, a)
 		}
 	}
@@ -81,15 +79,13 @@
 // recountMembers computes the results of CountMembers.
 func (s *Sharer) recountMembers() {
 	s.memberCount, s.unreachableCount = 1, 0
-	known := make(map[string]bool, len(s.peers))
 	for _, p := range s.peers {
-		known[p.Address] = true
 		s.memberCount++
 		if p.Unreachable {
 			s.unreachableCount++
 		}
 	}
-	n := len(s.unansweredContacts(known))
+	n := len(s.unansweredContacts(s.peerAddresses()))
 	s.memberCount += n
 	s.unreachableCount += n
 }
--- a/internal/fleet/sharer/schedule.go
+++ b/internal/fleet/sharer/schedule.go
@@ -33,6 +33,7 @@
 	wasLarge, wasHub, hub := s.overlay.large, s.overlay.isHub, s.overlay.hub
 	if s.membersChanged || now.Sub(s.recounted) >= maxRecountInterval {
 		s.membersChanged, s.recounted = false, now
+		s.forgetContacts()
 		s.recountMembers()
 		s.selectHubs()
 	}
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -33,9 +33,9 @@
 	maxDelayedPeriods = 2
 	// maxMissedPeriods is how many periods without a status make a peer unreachable.
 	maxMissedPeriods = 5
-	// forgetTime is how long an unreachable peer counts as a member that may still serve requests
-	// on its own.
-	forgetTime  = 30 * time.Second
+	// ForgetTime is how long an unreachable peer counts as a member that may still serve requests
+	// on its own, at least. It counts on for as long as Config.Presence does not say that it is gone.
+	ForgetTime  = 30 * time.Second
 	sendTimeout = 500 * time.Millisecond
 	// minUrgentInterval is the shortest time between two urgent messages.
 	minUrgentInterval = 50 * time.Millisecond
@@ -67,6 +67,18 @@
 	HandleDatagram(messageKind string, f func(body []byte))
 }
 
+// Presence is what the store's list of members says of an address.
+type Presence int
+
+const (
+	// PresenceUnknown says nothing: the list was not read, or the entry proves nothing.
+	PresenceUnknown Presence = iota
+	// PresenceListed means that a daemon with this address renews its entry.
+	PresenceListed
+	// PresenceAbsent means that no daemon with this address has an entry.
+	PresenceAbsent
+)
+
 // Config configures a Sharer.
 type Config struct {
 	Name, Domain, Address string
@@ -89,8 +101,14 @@
 	// that. Each observation is passed once.
 	ObservationsReceived func([]Observation)
 	Duty                 string
-	Logger               log.Logger
-	Registry             metrics.Registry
+	// Presence returns what the store's list of members, if it was read after a time, says of an address.
+	// It must not block. If it is nil, there is no such list, and daemons that are silent are gone.
+	Presence func(address string, after time.Time) Presence
+	// IsClosed reports whether the host of an address answers that no process listens there. It is asked
+	// about addresses that never answered. Nil if that cannot be found out.
+	IsClosed func(ctx context.Context, address string) bool
+	Logger   log.Logger
+	Registry metrics.Registry
 }
 
 // Peer is the known state of another daemon.
@@ -162,6 +180,12 @@
 
 // New returns a sharer that knows no peers.
 func New(cfg Config) *Sharer {
+	if cfg.Presence == nil {
+		cfg.Presence = func(string, time.Time) Presence { return PresenceAbsent }
+	}
+	if cfg.IsClosed == nil {
+		cfg.IsClosed = func(context.Context, string) bool { return false }
+	}
 	return &Sharer{
 		cfg: cfg, peers: make(map[string]*Peer), contacts: make(map[string]*contact), overlay: newOverlay(), aggregator: newAggregator(), observations: newObservationExchange(), memberCount: 1,
 		reports: make(map[string]cbor.RawMessage), reportReceived: make(map[string]time.Time), newestRevisions: make(map[string]newestRevision), storeFollowers: make(map[string]string),
@@ -255,7 +279,7 @@
 }
 
 // detectUnreachable is the failure detector: it marks peers as unreachable after a timeout, and
-// forgets those that stay unreachable.
+// forgets those that stay unreachable and are gone from the store's list of members.
 func (s *Sharer) detectUnreachable() {
 	s.mu.Lock()
 	limit := maxMissedPeriods * s.period()
@@ -271,7 +295,7 @@
 			lost = append(lost, name)
 			s.log("msg", "peer unreachable", "peer", name, "address", p.Address, "quiet", quiet)
 		}
-		if quiet > forgetTime || p.Stopping && quiet > limit {
+		if quiet > ForgetTime && s.cfg.Presence(p.Address, p.Received.Add(ForgetTime)) == PresenceAbsent || p.Stopping && quiet > limit {
 			s.forgetPeer(p, quiet)
 		}
 	}
--- a/internal/fleet/sharer/sharer_test.go
+++ b/internal/fleet/sharer/sharer_test.go
@@ -202,7 +202,7 @@
 		if members, unreachable := s.CountMembers(); members != 4 || unreachable != 3 {
 			t.Errorf("got %d daemons of which %d are unreachable, want 4 and 3", members, unreachable)
 		}
-		time.Sleep(forgetTime)
+		time.Sleep(ForgetTime)
 		if members, unreachable := s.CountMembers(); members != 1 || unreachable != 0 {
 			t.Errorf("got %d daemons of which %d are unreachable after a long time, want only itself", members, unreachable)
 		}
