Go on trying daemons that were forgotten

What callers would see: after a cut of over 30 s the two sides stay apart for good, and each uses the whole of each allowance (QUOTA).

Cause: a daemon that forgets another drops its address too. Both sides of a cut do, so neither tries the other again; only a restart or a reload of the settings brings the seeds back.

Change: the address of a forgotten daemon is tried each 30 s for two hours more, unless it had said that it stops.

Evidence: TestLivingDaemonsAreNotForgotten on: 2 and 1 members after the cut in all three cases, want 3; now 3 on both sides.

--- a/internal/fleet/sharer/contacts.go
+++ b/internal/fleet/sharer/contacts.go
@@ -17,6 +17,8 @@
 	// listed reports that the address is from the store's list of members, so that its absence there
 	// means that the daemon is gone. closed reports that no process listened there when it was last tried.
 	listed, closed bool
+	// forgotten is when the daemon at the address was forgotten; zero if it was not.
+	forgotten time.Time
 }
 
 // AddContacts adds addresses at which there may be daemons.
@@ -103,11 +105,19 @@
 	return known
 }
 
-// forgetContacts drops the addresses that left the store's list of members and never answered.
+// forgetContacts drops addresses that left the store's list of members and never answered, and those of
+// daemons that were forgotten long ago.
 func (s *Sharer) forgetContacts() {
 	known := s.peerAddresses()
 	for a, c := range s.contacts {
-		if c.listed && !known[a] && time.Since(c.firstSeen) > ForgetTime && s.cfg.Presence(a, c.firstSeen) == PresenceAbsent {
+		switch {
+		case known[a]:
+			c.forgotten = time.Time{}
+		case c.forgotten.IsZero():
+			if c.listed && time.Since(c.firstSeen) > ForgetTime && s.cfg.Presence(a, c.firstSeen) == PresenceAbsent {
+				delete(s.contacts, a)
+			}
+		case time.Since(c.forgotten) > returnTime:
 			delete(s.contacts, a)
 		}
 	}
--- a/internal/fleet/sharer/presence_test.go
+++ b/internal/fleet/sharer/presence_test.go
@@ -125,6 +125,11 @@
 				if got, want := all[0].HasSilentMembers(), tc.wantMembers == 3; got != want {
 					t.Errorf("got silent members %t, want %t", got, want)
 				}
+				f.setCut(func(string, string) bool { return false })
+				time.Sleep(2 * maxRetryPeriod)
+				// Both sides have forgotten each other by now if the store tells them so.
+				wantMembers(t, "after the cut", all[0], 3, 0)
+				wantMembers(t, "after the cut", all[2], 3, 0)
 			})
 		})
 	}
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -45,6 +45,9 @@
 	// doubles up to maxRetryPeriod while no daemon is known at the address.
 	retryPeriod    = time.Second
 	maxRetryPeriod = 30 * time.Second
+	// returnTime is how long the address of a forgotten daemon is tried. Regions may lose each other
+	// for an hour.
+	returnTime = 2 * time.Hour
 	// maxRetriesAtOnce is how many such addresses a daemon tries in one round, and
 	// maxHubRetriesAtOnce how many a hub tries.
 	maxRetriesAtOnce    = 4
@@ -311,7 +314,12 @@
 	s.invalidateMembers()
 	delete(s.overlay.lastMessages, p.Name)
 	delete(s.overlay.avoidedUntil, p.Name)
-	delete(s.contacts, p.Address)
+	if c := s.contacts[p.Address]; c != nil && !p.Stopping {
+		// It may be alive, and cut off from the store too; then neither side would try the other again.
+		c.forgotten, c.backoff = time.Now(), maxRetryPeriod
+	} else {
+		delete(s.contacts, p.Address)
+	}
 	if s.transport != nil {
 		s.transport.CloseConn(p.Address)
 	}
