--- a/internal/daemon/composer/quarantine.go
+++ b/internal/daemon/composer/quarantine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"strings"
 	"time"
 
@@ -73,6 +74,7 @@
 		if !d.holdsPlatformDuty() {
 			continue
 		}
+		maps.DeleteFunc(saved, func(_ string, until time.Time) bool { return time.Now().After(until) })
 		for _, q := range d.quarantiner.Active() {
 			key := quarantineKey(q.Blocks)
 			if until, ok := saved[key]; ok && !q.Until.After(until) {
