Read the history of releases at the start of a daemon

Cause: the daemons waited for a report of the one with the duty, which nobody holds in the first second after a restart of all. Until then they went by the start of the endpoints, and those of both releases had started together.

Change: a daemon that gets an order while it starts reads the stored history at once, and again after 1 s if that fails. Others wait for the report as before, so the reads do not grow with the fleet.

Evidence: TestLateDaemonKnowsTheReleaseInForce, "by the store, at its start": before, requests may go to v2 after the first tick.

--- a/internal/control/roller/history.go
+++ b/internal/control/roller/history.go
@@ -3,13 +3,20 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/remote/storer"
 )
 
-// maxUnproved is the number of unproved releases that a History names; the oldest are dropped.
-const maxUnproved = 16
+const (
+	// maxUnproved is the number of unproved releases that a History names; the oldest are dropped.
+	maxUnproved = 16
+	// startupTime is how long after its start a daemon takes an order for one of before its start.
+	startupTime = 5 * time.Second
+	// historyRetryDelay is the time between two attempts to read a history.
+	historyRetryDelay = time.Second
+)
 
 // History says how the releases of a service stood when an order was given. An order alone does not
 // tell: its release may be a new one, the one in force, or one that an earlier order tried.
@@ -108,14 +115,18 @@
 }
 
 // resolveHistory makes the history of a move the same at all daemons: the stored one. The daemon with
-// the publishing duty stores it, the others get it by its report. One that gets none in time reads it.
+// the publishing duty stores it, the others get it by its report. One that gets none in time reads it, and
+// so does one that starts, at once: by the order alone it cannot tell which release is on trial.
 func (r *Roller) resolveHistory(ctx context.Context, m *move) {
 	r.mu.Lock()
 	if !m.hasHistory {
 		r.inferHistory(m)
 	}
 	isHolder := r.cfg.HoldsPublishDuty()
-	wait := m.withdrawn || m.hasStoredHistory || !m.hasHistory || !isHolder && (m.hasReadHistory || !m.isReadDue())
+	wait := m.withdrawn || m.hasStoredHistory || !m.hasHistory || !isHolder && !m.isHistoryDue()
+	if !wait {
+		m.historyTry = time.Now()
+	}
 	r.mu.Unlock()
 	if wait {
 		return
@@ -147,6 +158,11 @@
 	}
 }
 
+// isHistoryDue reports whether a daemon without the publishing duty reads the stored history now.
+func (m *move) isHistoryDue() bool {
+	return !m.hasReadHistory && (m.isFromStart || m.isReadDue()) && time.Since(m.historyTry) >= historyRetryDelay
+}
+
 // historyAfter returns the history of a move, given the one that the store has for the service, if any.
 func (r *Roller) historyAfter(ctx context.Context, m *move, stored History, ok bool) (History, error) {
 	r.mu.Lock()
--- a/internal/control/roller/move.go
+++ b/internal/control/roller/move.go
@@ -62,10 +62,14 @@
 	history      History
 	hasHistory   bool
 	followsOrder bool
+	// isFromStart reports that the order came while this daemon started.
+	isFromStart bool
 	// hasStoredHistory is set once history is known to be the one in the store, and hasReadHistory once
 	// this daemon has looked there.
 	hasStoredHistory bool
 	hasReadHistory   bool
+	// historyTry is when this daemon last tried to read the stored history.
+	historyTry time.Time
 	// resolved is set once this daemon or a peer has read the state in the store.
 	resolved bool
 	// publishedState is the last state that this daemon published, valid while hasPublished is set.
--- a/internal/control/roller/return_test.go
+++ b/internal/control/roller/return_test.go
@@ -132,20 +132,25 @@
 		held   bool
 		starts OldestStarts
 		report bool
+		// uptime is how long the daemon has run when it gets the order, and ticks how many it has then.
+		uptime time.Duration
+		ticks  int
 	}{
-		{"by the endpoints", &stateStore{down: true}, false, startOrder, false},
-		{"by the store", stored(), true, unknownStarts, false},
-		{"by the store after a while", stored(), false, unknownStarts, false},
+		{"by the endpoints", &stateStore{down: true}, false, startOrder, false, time.Hour, 0},
+		{"by the store", stored(), true, unknownStarts, false, time.Hour, 1},
+		{"by the store, at its start", stored(), false, unknownStarts, false, 0, 1},
+		{"by the store, after a while", stored(), false, unknownStarts, false, time.Hour, 20},
 		{"by the order before, which the store has", &stateStore{states: map[string]State{"s": StateActive}, histories: map[string]History{
 			"s": {Revision: 7, Release: "v2", InForce: []string{"v1"}, Unproved: []string{"v2"}},
-		}}, true, unknownStarts, false},
-		{"by another daemon", &stateStore{down: true}, false, unknownStarts, true},
+		}}, true, unknownStarts, false, time.Hour, 1},
+		{"by another daemon", &stateStore{down: true}, false, unknownStarts, true, time.Hour, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				order := Order{Service: "s", Release: "v1", Within: moveDuration, Revision: secondRevision}
 				r := newTestRoller(tc.store, tc.held)
 				r.cfg.OldestStarts = tc.starts
+				time.Sleep(tc.uptime)
 				r.Apply(order)
 				if tc.report {
 					other := newTestRoller(stored(), true)
@@ -154,7 +159,7 @@
 					trials, moves := other.LocalReport()
 					r.RecordReport("other", 1, trials, moves)
 				}
-				for range 20 {
+				for range tc.ticks {
 					r.Tick(t.Context())
 					time.Sleep(tickPeriod)
 				}
--- a/internal/control/roller/roller.go
+++ b/internal/control/roller/roller.go
@@ -87,6 +87,8 @@
 // Roller tracks the moves of all services at one daemon and chooses the release of each request.
 type Roller struct {
 	cfg Config
+	// created is when this daemon started.
+	created time.Time
 
 	mu         sync.Mutex
 	moves      map[string]*move
@@ -98,7 +100,7 @@
 // New returns a Roller without moves.
 func New(cfg Config) *Roller {
 	return &Roller{
-		cfg: cfg, moves: make(map[string]*move), ownCounts: make(tally), peerCounts: make(map[string]*peerTally), breaks: make(assessor.Breaks),
+		cfg: cfg, created: time.Now(), moves: make(map[string]*move), ownCounts: make(tally), peerCounts: make(map[string]*peerTally), breaks: make(assessor.Breaks),
 	}
 }
 
@@ -122,7 +124,7 @@
 		return
 	}
 	now := time.Now()
-	m := &move{Order: o, startTime: now, seenTime: now, spanStart: now}
+	m := &move{Order: o, startTime: now, seenTime: now, spanStart: now, isFromStart: now.Sub(r.created) < startupTime}
 	r.setHistory(m, old)
 	r.moves[o.Service] = m
 	r.ownCounts.dropService(o.Service)
