Let the history that is based on a later order prevail

What callers would see: a daemon that missed an order takes the release on trial for one in force, and if it holds the duty, all daemons adopt that from it. Then that release gets a share of the traffic beside the one in force (EXPOSURE).

Cause: the history of an order came from whichever daemon stored it, whatever that one knew of the orders before.

Change: a history names the order on which it is based. Of two histories of one order the one with the later base is kept, in the store and at each daemon, and a daemon that finds a stored history of an order that it missed goes on from that. An order that was deleted and comes back after a restore of the store is new.

Evidence: TestMissedOrderIsNotForgotten and TestOrderComesBackAfterARestore, of which the first failed before.

--- a/internal/control/roller/history.go
+++ b/internal/control/roller/history.go
@@ -24,6 +24,10 @@
 	// Revision and Release are those of the order.
 	Revision uint64 `json:"revision"`
 	Release  string `json:"release"`
+	// After is the revision of the order before, on whose history this one is based; 0 if it is based on
+	// the endpoints. Of two histories of one order that with the higher one prevails, since a daemon may
+	// have missed an order.
+	After uint64 `json:"after,omitempty"`
 	// InForce lists the releases that served the service when the order was given, without those on
 	// trial. It is empty while none is known.
 	InForce []string `json:"inforce,omitempty"`
@@ -50,7 +54,9 @@
 	if completed {
 		inForce, unproved = []string{h.Release}, without(unproved, h.Release)
 	}
-	return newHistory(o, inForce, unproved)
+	n := newHistory(o, inForce, unproved)
+	n.After = h.Revision
+	return n
 }
 
 // newHistory returns the history of an order, given what was in force and unproved before it.
@@ -93,11 +99,16 @@
 	return h.Revision == o.Revision || h.Release == o.Release && storer.EraOf(h.Revision) < storer.EraOf(o.Revision)
 }
 
+// Prevails reports whether h is kept when another history of the service is to be stored.
+func (h History) Prevails(other History) bool {
+	return h.Revision > other.Revision || h.Revision == other.Revision && h.After >= other.After
+}
+
 // setHistory sets the history of a new move that replaces old, which may be nil. The caller holds the
 // lock.
 func (r *Roller) setHistory(m, old *move) {
 	if old != nil && (old.state == StateDone || len(old.history.InForce) > 0) {
-		m.history, m.hasHistory, m.followsOrder = old.history.next(m.Order, old.state == StateDone), true, true
+		m.history, m.hasHistory = old.history.next(m.Order, old.state == StateDone), true
 		return
 	}
 	if old != nil {
@@ -141,7 +152,7 @@
 		meter.AddToCounter(r.cfg.Registry, 1, "move_read_failures_total")
 		return
 	}
-	isStored := ok && stored.Revision == m.Revision
+	isStored := ok && stored.Revision == h.Revision && stored.After == h.After
 	if isHolder && !isStored {
 		if h, err = r.cfg.Publisher.WriteHistory(ctx, m.Service, h); err != nil {
 			meter.AddToCounter(r.cfg.Registry, 1, "move_write_failures_total")
@@ -166,16 +177,16 @@
 // historyAfter returns the history of a move, given the one that the store has for the service, if any.
 func (r *Roller) historyAfter(ctx context.Context, m *move, stored History, ok bool) (History, error) {
 	r.mu.Lock()
-	o, own, followsOrder := m.Order, m.history, m.followsOrder
+	o, own := m.Order, m.history
 	r.mu.Unlock()
-	if ok && stored.isOf(o) {
+	switch {
+	case ok && stored.isOf(o) && stored.After >= own.After:
 		stored.Revision = o.Revision
 		return stored, nil
-	}
-	if !ok || followsOrder || stored.Revision > o.Revision {
+	case !ok, stored.isOf(o), stored.Revision <= own.After, stored.Revision > o.Revision:
 		return own, nil
 	}
-	// This daemon does not know the order before this one.
+	// This daemon does not know the order before this one, which the store does.
 	s, known, err := r.cfg.Publisher.ReadState(ctx, Order{Service: o.Service, Release: stored.Release, Revision: stored.Revision})
 	if err != nil {
 		return History{}, err
@@ -183,7 +194,11 @@
 	return stored.next(o, known && s == StateDone), nil
 }
 
-// adoptHistory replaces the history of a move. isStored reports whether the store has it.
+// adoptHistory replaces the history of a move by one that another daemon knows, unless this daemon's is
+// based on a later order. isStored reports whether the store has the other one.
 func (m *move) adoptHistory(h History, isStored bool) {
-	m.history, m.hasHistory, m.hasStoredHistory = h, true, isStored
+	m.hasStoredHistory = isStored
+	if !m.hasHistory || h.After >= m.history.After {
+		m.history, m.hasHistory = h, true
+	}
 }
--- a/internal/control/roller/move.go
+++ b/internal/control/roller/move.go
@@ -58,10 +58,9 @@
 	// withdrawn is set once the order is deleted.
 	withdrawn bool
 	// history says which releases are proved; hasHistory is set once it is based on the endpoints or on
-	// the order before. followsOrder reports that this daemon knows the order before.
-	history      History
-	hasHistory   bool
-	followsOrder bool
+	// the order before.
+	history    History
+	hasHistory bool
 	// isFromStart reports that the order came while this daemon started.
 	isFromStart bool
 	// hasStoredHistory is set once history is known to be the one in the store, and hasReadHistory once
@@ -108,7 +107,7 @@
 func (m *move) report() sharer.Move {
 	return sharer.Move{
 		Service: m.Service, Revision: m.Revision, State: int(m.state), Age: time.Since(m.startTime).Milliseconds(), Settled: m.resolved,
-		Stored: m.hasStoredHistory, InForce: m.history.InForce, Unproved: m.history.Unproved,
+		Stored: m.hasStoredHistory, After: m.history.After, InForce: m.history.InForce, Unproved: m.history.Unproved,
 	}
 }
 
--- a/internal/control/roller/return_test.go
+++ b/internal/control/roller/return_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"pomelotiller/internal/remote/storer"
 )
 
 // secondRevision is the revision of an order after the first of a simulatedFleet.
@@ -173,6 +175,55 @@
 	}
 }
 
+// A daemon with the publishing duty that missed an order must not make the others take the release on trial
+// for one in force.
+func TestMissedOrderIsNotForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &stateStore{states: make(map[string]State)}
+		holder, other := newTestRoller(store, true), newTestRoller(store, false)
+		time.Sleep(time.Hour)
+		first := Order{Service: "s", Release: "v2", Within: moveDuration, Revision: 7}
+		other.Apply(first)
+		second := Order{Service: "s", Release: "v3", Within: moveDuration, Revision: secondRevision}
+		other.Apply(second)
+		holder.Apply(second)
+		holder.Tick(t.Context())
+		trials, moves := holder.LocalReport()
+		other.RecordReport("holder", 1, trials, moves)
+		if !other.moves["s"].hasStoredHistory {
+			t.Error("got no stored history, want that of the daemon with the duty")
+		}
+		for i := range 100 {
+			if other.AllowedReleases("s", fmt.Sprint(i))("v2") {
+				t.Fatalf("request %d may go to the release that was replaced", i)
+			}
+		}
+		// The next daemon with the duty knows by the store what it missed itself.
+		late := newTestRoller(&stateStore{states: make(map[string]State), histories: map[string]History{
+			"s": {Revision: 8, Release: "v2", InForce: []string{"v1"}, Unproved: []string{"v2"}},
+		}}, true)
+		late.Apply(Order{Service: "s", Release: "v0", Within: moveDuration, Revision: 6})
+		late.Apply(second)
+		late.Tick(t.Context())
+		if late.AllowedReleases("s", "a")("v2") {
+			t.Error("a request may go to a release that is on trial by the store")
+		}
+	})
+}
+
+// An order that is deleted and given again after a restore of the store is a new one.
+func TestOrderComesBackAfterARestore(t *testing.T) {
+	r := newTestRoller(&stateStore{states: make(map[string]State)}, true)
+	o := Order{Service: "s", Release: "v2", Within: moveDuration, Revision: 7}
+	r.Apply(o)
+	r.Apply(Order{Service: "s", Revision: 8, Deleted: true})
+	o.Revision = storer.JoinEra(1, 5)
+	r.Apply(o)
+	if _, moves := r.LocalReport(); len(moves) != 1 || State(moves[0].State) != StateActive {
+		t.Errorf("got moves %v, want one that is active", moves)
+	}
+}
+
 // Once a release is completed it is the one in force: the former one, ordered back after that, is on
 // trial like any other, since its endpoints start anew.
 func TestCompletedReleaseIsInForce(t *testing.T) {
--- a/internal/control/roller/roller.go
+++ b/internal/control/roller/roller.go
@@ -117,7 +117,7 @@
 		r.withdrawMove(old, o)
 		return
 	}
-	if old != nil && old.hasSameTarget(o) && storer.EraOf(o.Revision) > storer.EraOf(old.Revision) {
+	if old != nil && !old.withdrawn && old.hasSameTarget(o) && storer.EraOf(o.Revision) > storer.EraOf(old.Revision) {
 		// The store was restored and numbers its entries anew; the order equals that of the
 		// current move, which goes on.
 		old.Revision, old.history.Revision = o.Revision, o.Revision
@@ -269,8 +269,8 @@
 			m.startTime = startTime
 		}
 		m.resolved = m.resolved || h.Settled
-		if h.Stored && !m.hasStoredHistory {
-			m.adoptHistory(History{Revision: m.Revision, Release: m.Release, InForce: h.InForce, Unproved: h.Unproved}, true)
+		if h.Stored && (!m.hasStoredHistory || h.After > m.history.After) {
+			m.adoptHistory(History{Revision: m.Revision, Release: m.Release, After: h.After, InForce: h.InForce, Unproved: h.Unproved}, true)
 		}
 		r.endMove(m, State(h.State), "reported by another daemon")
 	}
--- a/internal/control/roller/roller_test.go
+++ b/internal/control/roller/roller_test.go
@@ -54,7 +54,7 @@
 	if b.histories == nil {
 		b.histories = make(map[string]History)
 	}
-	if stored, ok := b.histories[service]; ok && stored.Revision >= h.Revision {
+	if stored, ok := b.histories[service]; ok && stored.Prevails(h) {
 		return stored, nil
 	}
 	b.histories[service] = h
--- a/internal/daemon/composer/moves.go
+++ b/internal/daemon/composer/moves.go
@@ -79,7 +79,7 @@
 	if err != nil && !errors.Is(err, storer.ErrNotFound) {
 		return roller.History{}, fmt.Errorf("read history of releases: %w", err)
 	}
-	if stored, ok := decodeHistory(e); ok && stored.Revision >= h.Revision {
+	if stored, ok := decodeHistory(e); ok && stored.Prevails(h) {
 		return stored, nil
 	}
 	if _, err = m.adapter.Store.Swap(ctx, storer.Write{Key: key, Value: value, Expect: e.Revision}); err != nil {
--- a/internal/daemon/composer/moves_test.go
+++ b/internal/daemon/composer/moves_test.go
@@ -30,7 +30,8 @@
 		{"the first order", first, first},
 		{"a newer order", second, second},
 		{"an older order", first, second},
-		{"the same order by another daemon", roller.History{Revision: 9, Release: "v1", InForce: []string{"v2"}}, second},
+		{"the same order by a daemon that knows the order before", roller.History{Revision: 9, Release: "v1", After: 7, InForce: []string{"v1"}}, roller.History{Revision: 9, Release: "v1", After: 7, InForce: []string{"v1"}}},
+		{"the same order by another daemon", roller.History{Revision: 9, Release: "v1", InForce: []string{"v2"}}, roller.History{Revision: 9, Release: "v1", After: 7, InForce: []string{"v1"}}},
 	} {
 		got, err := m.WriteHistory(t.Context(), "s", tc.write)
 		if err != nil || !reflect.DeepEqual(got, tc.want) {
--- a/internal/fleet/sharer/status.go
+++ b/internal/fleet/sharer/status.go
@@ -142,6 +142,8 @@
 	Stored   bool     `cbor:"6,keyasint,omitempty"`
 	InForce  []string `cbor:"7,keyasint,omitempty"`
 	Unproved []string `cbor:"8,keyasint,omitempty"`
+	// After is the revision of the order before, on which they are based; 0 if none is known.
+	After uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // RequestLimit is what an endpoint said in an answer of the requests that it takes from all daemons together.
