Let the soak order the release in force and delete entries of members

Each run of the soak that is not alone with faults of domains now deletes one daemon's entry, which must come back, and orders the release that all endpoints run.

--- a/internal/daemon/soaker/domainfaults_test.go
+++ b/internal/daemon/soaker/domainfaults_test.go
@@ -78,6 +78,7 @@
 		return
 	}
 	running.Go(func() { w.injectDomainFaults(duration) })
+	running.Go(func() { w.injectOperatorFaults(duration) })
 	w.injectFaults(duration)
 	close(w.domains.otherFaultsEnded)
 	running.Wait()
--- a/internal/daemon/soaker/soak_test.go
+++ b/internal/daemon/soaker/soak_test.go
@@ -130,6 +130,7 @@
 	callers.Wait()
 	h := w.history()
 	w.checkRecovered(h, stopped)
+	w.checkEntries()
 	for _, p := range invariants {
 		n := 0
 		p.check(w, h, func(format string, args ...any) {
