Keep the platform's name of an order in its stand-in

The soak wrote the order itself, with the key and the fields of the users' platform, which belong to platform/ and the stand-ins. Steward.OrderMove writes it now.

--- a/internal/daemon/soaker/operator_test.go
+++ b/internal/daemon/soaker/operator_test.go
@@ -1,7 +1,6 @@
 package soaker
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 )
@@ -9,9 +8,9 @@
 const (
 	// operatorStream is the random stream of the operator's orders and of deleted entries.
 	operatorStream = 1 << 34
-	// orderedSeconds is the time limit of an order. It is longer than a run, so that a daemon which takes
+	// orderTime is the time limit of an order. It is longer than a run, so that a daemon which takes
 	// all releases for unproved until then still refuses requests at the end.
-	orderedSeconds = 60
+	orderTime = time.Minute
 	// entryReturnTime is the time within which a daemon writes its entry among the members again.
 	entryReturnTime = 12 * time.Second
 	// entryPollPeriod is the time between two looks at the entries.
@@ -29,8 +28,7 @@
 	time.Sleep(time.Duration(r.Int64N(int64(duration / 2))))
 	for _, service := range []string{"desk", "pool"} {
 		w.t.Logf("%s release in force of %s ordered", time.Now().Format(timeFormat), service)
-		order := fmt.Sprintf(`{"service": %q, "target": "v1", "duration_s": %d}`, service, orderedSeconds)
-		w.changeStore(func() { w.platform.Put("op/rollout/"+service, []byte(order)) })
+		w.changeStore(func() { w.platform.OrderMove(service, "v1", orderTime) })
 	}
 }
 
