--- a/review/stage-3/main.go
+++ b/review/stage-3/main.go
@@ -23,6 +23,7 @@
 // cases holds the scripted cases by name.
 var cases = map[string]func(*stage) error{
 	"partial-entry": playPartialEntry,
+	"moved-stream":  playMovedStream,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
