Promise no caller that what ran did not run

Callers take 408, 421, 429 and 503 for a promise that nothing ran, sent the order again and had it carried out twice.

Cause: ParseVerdict sees that an answer does not say "not run", and checkVerdict sets the request to Ran, but nothing looked at this where a complete failure of an endpoint is written to the caller. An answer below 500 was passed on as a good one, one from 500 on as the last failure once no retry was left.

Change: Carrier.writeAnswer, through which each complete answer that is not a stream goes, returns a 502 "failed" with run "ran" in place of a false promise: without seal, Retry-After or other fields of the endpoint. Such an answer counts as a failure of the endpoint, in its health and in the comparison of releases, so that one that answers 429 or 408 does not stay in use. What may be repeated keeps the endpoint's answer, and a true "not run" stays a 503.

Own interface: refusals of the relayer say run "unknown" in the body once an engine was asked, and completions may be repeated; an engine's 421 alone was passed on as it is, and is now retried like 408 and 429.

--- a/internal/traffic/carrier/carrier.go
+++ b/internal/traffic/carrier/carrier.go
@@ -160,7 +160,7 @@
 	isReturning bool
 	// holdings is the memory of the answers of all attempts.
 	holdings []*rationer.Holding
-	// lastFailure is the latest complete answer with a 5xx status.
+	// lastFailure is the latest complete answer that reports a failure.
 	lastFailure *answer
 	// usageRecorded says that the request has been counted in the usage.
 	usageRecorded bool
--- a/internal/traffic/carrier/deliver.go
+++ b/internal/traffic/carrier/deliver.go
@@ -13,6 +13,7 @@
 	"pomelotiller/internal/config/registrar"
 	"pomelotiller/internal/remote/rationer"
 	"pomelotiller/internal/traffic/chooser"
+	"pomelotiller/internal/traffic/refuser"
 )
 
 const (
@@ -55,7 +56,7 @@
 }
 
 // deliverBufferedAnswer reads an answer to its end before it sends any of it to the
-// caller. It returns an error for an answer with a 5xx status, which may be retried.
+// caller. It returns an error for an answer that reports a failure, which may be retried.
 func (c *Carrier) deliverBufferedAnswer(ctx context.Context, q *request, a *answer) error {
 	body, err := readAnswerBody(a, q.conn)
 	a.recordFirstByte(q)
@@ -69,7 +70,7 @@
 	}
 	a.body = body
 	c.recordAnswer(q, a)
-	if a.res.StatusCode < http.StatusInternalServerError {
+	if !a.isFailure(q) {
 		c.cfg.Quarantine.RecordAnswer(q.parts)
 		a.finish(chooser.ResultGood, true)
 		c.logAttempt(q, a, nil)
@@ -141,8 +142,15 @@
 	return context.AfterFunc(a.ctx, a.conn.Interrupt)
 }
 
-// writeAnswer sends a complete answer to the caller.
+// writeAnswer sends a complete answer to the caller. In place of a false promise it returns a refusal that makes
+// none, without the Retry-After and the other fields of the answer.
 func (c *Carrier) writeAnswer(q *request, a *answer) error {
+	if a.isFalsePromise(q) {
+		return &refuser.Refusal{
+			Status: http.StatusBadGateway, Title: "failed", Run: q.runState,
+			Detail: fmt.Sprintf("the endpoint ran the request and answered with status %d", a.res.StatusCode),
+		}
+	}
 	copyHeader(q.w.Header(), a.res)
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	q.status = a.res.StatusCode
--- a/internal/traffic/carrier/outcome.go
+++ b/internal/traffic/carrier/outcome.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 )
 
@@ -51,7 +50,7 @@
 // recordAnswer records the outcome of an answer that was read to its end.
 func (c *Carrier) recordAnswer(q *request, a *answer) {
 	kind := OutcomeGood
-	if a.res.StatusCode >= http.StatusInternalServerError {
+	if a.isFailure(q) {
 		kind = OutcomeFailed
 	}
 	c.recordOutcome(q, a, kind)
--- a/internal/traffic/carrier/verdict.go
+++ b/internal/traffic/carrier/verdict.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"pomelotiller/internal/traffic/chooser"
@@ -42,6 +43,17 @@
 	return err
 }
 
+// isFalsePromise reports whether callers would take the status of an answer for a promise that the request was
+// not run, although the endpoint has run it. A caller may send what must not run twice again after it.
+func (a *answer) isFalsePromise(q *request) bool {
+	return !q.route.IsRepeatable() && q.runState != refuser.NotRun && refuser.PromisesNotRun(a.res.StatusCode)
+}
+
+// isFailure reports whether an answer says that the endpoint ran the request and failed.
+func (a *answer) isFailure(q *request) bool {
+	return a.res.StatusCode >= http.StatusInternalServerError || a.isFalsePromise(q)
+}
+
 // errUnnamed means that an answer on a reused connection cannot be attributed to the request.
 var errUnnamed = errors.New("answer to an unknown request")
 
--- a/internal/traffic/refuser/refuser.go
+++ b/internal/traffic/refuser/refuser.go
@@ -38,6 +38,16 @@
 	}
 }
 
+// PromisesNotRun reports whether callers take an answer with a status for a promise that their request was
+// not run and never will be, so that they may send it again (RFC 9110, 15.5.9, 15.5.20 and 15.6.4; RFC 6585, 4).
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Refusal is an error that ends a request.
 type Refusal struct {
 	// Status is the HTTP status.
--- a/internal/traffic/relayer/failure.go
+++ b/internal/traffic/relayer/failure.go
@@ -87,8 +87,7 @@
 	if !errors.As(err, &e) || e.Status < http.StatusBadRequest || e.Status >= http.StatusInternalServerError {
 		return 0
 	}
-	switch e.Status {
-	case http.StatusNotFound, http.StatusRequestTimeout, http.StatusPreconditionFailed, http.StatusTooManyRequests:
+	if refuser.PromisesNotRun(e.Status) || e.Status == http.StatusNotFound || e.Status == http.StatusPreconditionFailed {
 		return 0
 	}
 	return e.Status
--- a/internal/traffic/relayer/relayer_test.go
+++ b/internal/traffic/relayer/relayer_test.go
@@ -213,6 +213,13 @@
 		t.Cleanup(srv.Close)
 		return srv.Listener.Addr().String()
 	}
+	answering := func(status int) func(t *testing.T) string {
+		return func(t *testing.T) string {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+			t.Cleanup(srv.Close)
+			return srv.Listener.Addr().String()
+		}
+	}
 	behindFault := func(mode faulter.Mode, bytes int64) func(t *testing.T) string {
 		return func(t *testing.T) string {
 			g := generator.New(generator.Config{Versions: []string{testVersion}})
@@ -239,6 +246,11 @@
 		{"cut in answer header", behindFault(faulter.ModeTruncate, 10), refuser.Unknown},
 		{"nothing answered", behindFault(faulter.ModeBlackhole, 0), refuser.Unknown},
 		{"redirected to a closed port", redirect, refuser.Unknown},
+		{"answered 408", answering(http.StatusRequestTimeout), refuser.Unknown},
+		{"answered 421", answering(http.StatusMisdirectedRequest), refuser.Unknown},
+		{"answered 429", answering(http.StatusTooManyRequests), refuser.Unknown},
+		{"answered 500", answering(http.StatusInternalServerError), refuser.Unknown},
+		{"answered 503", answering(http.StatusServiceUnavailable), refuser.Unknown},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
