Count each answer that a living endpoint breaks off

Cause: breaks of one endpoint within a second counted as one, whatever their number, and the rest as nothing, in roller and in mover. So a daemon knew of one bad answer an endpoint and second beside all good ones, which lay within the margin. Besides, the carrier did not report an end before the head on a reused connection at all.

Change: a further break of an endpoint belongs to the one that counted unless the endpoint has shown since that it lives (assessor.Breaks): the head of the broken answer itself came for a request sent after that break; another answer came whole on a connection that is older than it, so that no crash or reset ended them all; or a younger connection broke and the endpoint has answered since. Only where it answers nobody does the second of before decide, on younger connections. Ends of silence never prove more than one event on old connections, as after a cut some live on. Outcomes say when the connection was opened, when the attempt began, whether a head came and whether it timed out. The end of a reused connection after the request was sent counts.

Evidence: TestReleaseThatBreaksOffAnswersIsReverted (roller: before and after the head, kept connections and one each, 90, 300 and 700 requests a second, 10 and 200 ms, a third and a seventh), with the clock of before 28 of 32 cases failed, "got state done, want reverted", 1,517 of 4,540 requests where 504 may; TestVersionThatBreaksOffStreams (mover), one in seven of 700 a second failed before (1,747 where 1,205 may); TestOutcomeOnAKeptConnection (platform) failed before. TestEventAtAnEndpointIsNoFault OfTheRelease (crash, reset and cut, in the canary and at full traffic) and TestCrashWithStreamsInFlight hold before and after, and fail if each break counts.

--- a/internal/control/mover/observer.go
+++ b/internal/control/mover/observer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pomelotiller/internal/config/loader"
+	"pomelotiller/internal/control/assessor"
 	"pomelotiller/internal/observe/meter"
 	"pomelotiller/internal/remote/inferrer"
 	"pomelotiller/internal/traffic/relayer"
@@ -128,11 +129,13 @@
 // isRepeatedBreak reports whether an outcome is a broken connection that counts as the same event as
 // an earlier one.
 func (f *followedMove) isRepeatedBreak(o relayer.Outcome, now time.Time) bool {
+	a := assessor.Attempt{Endpoint: o.Endpoint, ConnectedAt: o.ConnectedAt, SentAt: o.SentAt, HasHead: o.HasHead, IsSilent: o.IsSilent}
 	var status *inferrer.StatusError
 	if o.Err == nil || errors.As(o.Err, &status) || errors.Is(o.Err, inferrer.ErrForeignAnswer) {
+		f.breaks.RecordAnswer(a, now)
 		return false
 	}
-	return f.breaks.IsRepeated(o.Endpoint, now)
+	return f.breaks.IsRepeated(a, now)
 }
 
 // classifyOutcome returns the counts of one outcome, and adds one of the old version to the baseline
--- a/internal/control/roller/roller.go
+++ b/internal/control/roller/roller.go
@@ -219,8 +219,15 @@
 // isRepeatedBreak reports whether an outcome is a broken answer that counts as the same event as an
 // earlier one.
 func (r *Roller) isRepeatedBreak(o carrier.Outcome, now time.Time) bool {
-	isBreak := o.Kind == carrier.OutcomeBroken || o.Kind == carrier.OutcomeStreamBroken
-	return isBreak && r.breaks.IsRepeated(o.Endpoint, now)
+	a := assessor.Attempt{Endpoint: o.Endpoint, ConnectedAt: o.ConnectedAt, SentAt: o.SentAt, HasHead: o.HasHead, IsSilent: o.IsSilent}
+	switch o.Kind {
+	case carrier.OutcomeBroken, carrier.OutcomeStreamBroken:
+		return r.breaks.IsRepeated(a, now)
+	case carrier.OutcomeGood, carrier.OutcomeFailed:
+		r.breaks.RecordAnswer(a, now)
+	case carrier.OutcomeNone:
+	}
+	return false
 }
 
 // activeRevision returns the revision of the order of a service's move, or 0 if it has no active one.
--- a/internal/daemon/assembler/outcomes.go
+++ b/internal/daemon/assembler/outcomes.go
@@ -28,26 +28,27 @@
 	if err != nil {
 		return nil, err
 	}
-	return observedSender{Sender: sender, services: s, address: address}, nil
+	return observedSender{Sender: sender, services: s, address: address, connectedAt: time.Now()}, nil
 }
 
 // observedSender sends orders to one service and reports their outcomes.
 type observedSender struct {
 	recorder.Sender
-	services observedServices
-	address  string
+	services    observedServices
+	address     string
+	connectedAt time.Time
 }
 
 // Send implements recorder.Sender.
 func (s observedSender) Send(ctx context.Context, o recorder.Order, header http.Header) (recorder.Answer, error) {
 	began := time.Now()
 	a, err := s.Sender.Send(ctx, o, header)
-	s.reportOutcome(o, time.Since(began), a, err)
+	s.reportOutcome(o, began, a, err)
 	return a, err
 }
 
-// reportOutcome reports the outcome of an order under the version that processed it.
-func (s observedSender) reportOutcome(o recorder.Order, took time.Duration, a recorder.Answer, err error) {
+// reportOutcome reports the outcome of an order, whose send began at a time, under the version that processed it.
+func (s observedSender) reportOutcome(o recorder.Order, began time.Time, a recorder.Answer, err error) {
 	var send *recorder.SendError
 	if errors.As(err, &send) && send.RunState == refuser.NotRun {
 		// The service did not run the order, so the outcome says nothing about the version.
@@ -73,6 +74,7 @@
 		return
 	}
 	s.services.outcomes.Observe(relayer.Outcome{
-		Route: o.Route, Version: versions[0], Endpoint: v.Endpoints[i].Name, Attempt: 1, FirstTokenTime: took, Err: err,
+		Route: o.Route, Version: versions[0], Endpoint: v.Endpoints[i].Name, Attempt: 1, FirstTokenTime: time.Since(began), Err: err,
+		ConnectedAt: s.connectedAt, SentAt: began, HasHead: err == nil || errors.Is(err, inferrer.ErrTruncated), IsSilent: relayer.IsTimeout(err),
 	})
 }
--- a/internal/remote/inferrer/client.go
+++ b/internal/remote/inferrer/client.go
@@ -48,6 +48,8 @@
 	FreshHTTP *http.Client
 	// Memory is the memory for the lines of all streams; nil sets no limit.
 	Memory *rationer.Ration
+	// OnConnected, if set, is called with the time at which the connection of an attempt was opened.
+	OnConnected func(openedAt time.Time)
 	// OnAnswer, if set, is called with the header of each answer to an attempt.
 	OnAnswer func(res *http.Response)
 }
@@ -98,7 +100,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var connected atomic.Bool
 	req, err := c.newAttemptRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(i httptrace.GotConnInfo) {
+			connected.Store(true)
+			c.reportConnection(i.Conn)
+		},
 	}), a)
 	if err != nil {
 		cancel()
@@ -127,6 +132,13 @@
 	return &stream{cancel: cancel, body: res.Body, lines: bufio.NewReader(res.Body), request: a.Request, holding: c.cfg.Memory.Begin(cancel)}, nil
 }
 
+// reportConnection calls OnConnected for a connection that an attempt gets.
+func (c *Client) reportConnection(conn net.Conn) {
+	if v, ok := conn.(*validator.Conn); ok && c.cfg.OnConnected != nil {
+		c.cfg.OnConnected(v.OpenedAt)
+	}
+}
+
 func (c *Client) newAttemptRequest(ctx context.Context, a Attempt) (*http.Request, error) {
 	path := a.Path
 	if a.FromToken > 0 {
--- a/internal/remote/validator/validator.go
+++ b/internal/remote/validator/validator.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // ErrMalformed is the error of an answer whose head no sound endpoint sends.
@@ -19,6 +20,8 @@
 // tells those who read of errors that only those who write were told.
 type Conn struct {
 	net.Conn
+	// OpenedAt is when the connection was opened.
+	OpenedAt time.Time
 
 	// writing is held during a write. It guards writeErr, the error of the last one that failed.
 	writing  sync.Mutex
@@ -32,7 +35,7 @@
 }
 
 // NewConn returns a connection on which an answer is expected next.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, head: newHeadChecker()} }
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, OpenedAt: time.Now(), head: newHeadChecker()} }
 
 // ExpectAnswer says that the next bytes are the head of an answer. It must be called before each answer; interim
 // answers need no call of their own. read holds bytes of it that were read from the connection already. It returns an
--- a/internal/traffic/carrier/attempt.go
+++ b/internal/traffic/carrier/attempt.go
@@ -53,6 +53,8 @@
 	cancel      context.CancelFunc
 	span        trace.Span
 	sentAt      time.Time
+	// isRequestSent says that the request was written to the connection, or that its write has begun if it is long.
+	isRequestSent bool
 	// from is the id of the event after which the endpoint was asked to resume the stream, firstID and
 	// lastID are those of the first and the last event of this attempt that were sent to the caller.
 	from, firstID, lastID string
@@ -137,7 +139,7 @@
 	err := a.sendRequest(q)
 	reason := "request was not sent completely"
 	if err == nil {
-		reason = "no answer"
+		a.isRequestSent, reason = true, "no answer"
 		err = a.watchSilence(q, a.headerPatience(q))
 	}
 	if err == nil {
--- a/internal/traffic/carrier/continuation.go
+++ b/internal/traffic/carrier/continuation.go
@@ -35,7 +35,7 @@
 
 // rejectContinuation ends an attempt whose answer cannot continue the stream, and returns why.
 func (c *Carrier) rejectContinuation(q *request, a *answer, err error) error {
-	c.recordOutcome(q, a, OutcomeFailed)
+	c.recordOutcome(q, a, OutcomeFailed, err)
 	a.drainBody(chooser.ResultFailed)
 	a.finish(chooser.ResultFailed, false)
 	err = &attemptError{maybeSent: true, reason: "answer does not continue the stream", err: err}
--- a/internal/traffic/carrier/deliver.go
+++ b/internal/traffic/carrier/deliver.go
@@ -287,7 +287,7 @@
 		c.recordFirstEvent(q)
 	}
 	a.hasEvents = true
-	c.recordOutcome(q, a, OutcomeGood)
+	c.recordOutcome(q, a, OutcomeGood, nil)
 	if done.lastID != "" {
 		q.events.writes++
 		a.firstID, a.lastID = cmp.Or(a.firstID, done.firstID), done.lastID
--- a/internal/traffic/carrier/outcome.go
+++ b/internal/traffic/carrier/outcome.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
+
+	"pomelotiller/internal/traffic/quarantiner"
 )
 
 // OutcomeKind is how an attempt at an endpoint ended.
@@ -33,10 +36,14 @@
 	// Took is the time until the answer began, or until the wait ended, and Predicted the time
 	// that the daemon had predicted for it.
 	Took, Predicted time.Duration
+	// ConnectedAt is when the connection of the attempt was opened, and SentAt when the attempt began.
+	ConnectedAt, SentAt time.Time
+	// HasHead reports that the head of an answer came, and IsSilent that the attempt ended since nothing came.
+	HasHead, IsSilent bool
 }
 
-// recordOutcome records how an attempt that reached its endpoint ended.
-func (c *Carrier) recordOutcome(q *request, a *answer, kind OutcomeKind) {
+// recordOutcome records how an attempt that reached its endpoint ended; err is why it failed.
+func (c *Carrier) recordOutcome(q *request, a *answer, kind OutcomeKind, err error) {
 	if a.outcomeRecorded && kind != OutcomeStreamBroken {
 		return
 	}
@@ -44,16 +51,23 @@
 	c.cfg.Trials.RecordOutcome(Outcome{
 		Service: q.service.Name, Route: q.route.Name, Release: a.choice.Endpoint.Version, Endpoint: a.choice.Endpoint.ID,
 		Kind: kind, Late: q.attempts == 1 && q.isLate(), Took: time.Since(a.sentAt), Predicted: a.choice.Wait,
+		ConnectedAt: a.conn.OpenedAt, SentAt: a.sentAt, HasHead: a.res != nil, IsSilent: isTimeout(err),
 	})
 }
 
+// isTimeout reports whether an attempt failed since its endpoint sent nothing for too long.
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
 // recordAnswer records the outcome of an answer that was read to its end.
 func (c *Carrier) recordAnswer(q *request, a *answer) {
 	kind := OutcomeGood
 	if a.isFailure(q) {
 		kind = OutcomeFailed
 	}
-	c.recordOutcome(q, a, kind)
+	c.recordOutcome(q, a, kind, nil)
 }
 
 // recordMissingAnswer records the outcome of an attempt whose answer is missing or incomplete. ctx is
@@ -66,12 +80,18 @@
 		// The endpoint did not run the request.
 	case a.outcomeRecorded:
 		if !errors.Is(ctx.Err(), context.Canceled) {
-			c.recordOutcome(q, a, OutcomeStreamBroken)
+			c.recordOutcome(q, a, OutcomeStreamBroken, err)
 		}
 	case a.ctx.Err() != nil:
-		c.recordOutcome(q, a, OutcomeNone)
-	case a.res != nil || !a.reused:
-		// An idle connection may have been closed before the request reached the endpoint.
-		c.recordOutcome(q, a, OutcomeBroken)
+		c.recordOutcome(q, a, OutcomeNone, err)
+	case a.res != nil || !a.reused || a.isEndedAfterSending(err):
+		c.recordOutcome(q, a, OutcomeBroken, err)
 	}
 }
+
+// isEndedAfterSending reports whether the endpoint closed the connection after the request was sent on it. What
+// else befalls an attempt on a reused connection before its answer may come from earlier: it may have died
+// unnoticed, or hold what an earlier request left.
+func (a *answer) isEndedAfterSending(err error) bool {
+	return a.isRequestSent && quarantiner.IsConnectionLost(err)
+}
--- a/internal/traffic/relayer/attempt.go
+++ b/internal/traffic/relayer/attempt.go
@@ -40,6 +40,7 @@
 	sentAt := time.Now()
 	engine := inferrer.NewClient(inferrer.ClientConfig{
 		Address: c.Endpoint.Address, HTTP: r.cfg.HTTP, FreshHTTP: r.cfg.FreshHTTP, Memory: r.cfg.Memory,
+		OnConnected: p.timing.recordConnection,
 		OnAnswer: func(res *http.Response) {
 			limit := throttler.ParseLimit(res.Header[inferrer.HeaderLimit])
 			throttler.Observe(r.cfg.Limits, router.LimitKey(c.Endpoint), 0, limit, res.StatusCode, sentAt)
--- a/internal/traffic/relayer/outcome.go
+++ b/internal/traffic/relayer/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"slices"
 	"time"
 
@@ -32,6 +33,11 @@
 	// first token, as far as was known when it was chosen: those of the prompt that it had not
 	// cached, and those of the requests before it.
 	UncomputedTokens int
+	// ConnectedAt is when the connection of the attempt was opened, and SentAt when the attempt began; zero if not
+	// known.
+	ConnectedAt, SentAt time.Time
+	// HasHead reports that the head of an answer came, and IsSilent that the attempt ended since nothing came.
+	HasHead, IsSilent bool
 	// Err is why the attempt failed, or nil.
 	Err error
 }
@@ -45,10 +51,15 @@
 type attemptTiming struct {
 	started, first, last time.Time
 	tokens               int
+	// connected is when the connection was opened.
+	connected time.Time
 	// began reports that the head of the answer came.
 	began bool
 }
 
+// recordConnection records when the connection of the attempt was opened.
+func (o *attemptTiming) recordConnection(openedAt time.Time) { o.connected = openedAt }
+
 // recordToken records that a token arrived now.
 func (o *attemptTiming) recordToken() {
 	o.last = time.Now()
@@ -68,6 +79,7 @@
 	out := Outcome{
 		Route: job.Route.Name, Version: c.Version, Endpoint: c.Endpoint.Name, Attempt: n,
 		Tokens: o.tokens, MaxTokens: job.Prompt.MaxTokens, UncomputedTokens: c.UncomputedTokens, Err: err,
+		ConnectedAt: o.connected, SentAt: o.started, HasHead: o.began, IsSilent: IsTimeout(err),
 	}
 	if o.tokens > 0 {
 		out.FirstTokenTime = o.first.Sub(o.started)
@@ -78,6 +90,12 @@
 	r.cfg.Outcomes.Observe(out)
 }
 
+// IsTimeout reports whether an attempt failed since its endpoint sent nothing for too long.
+func IsTimeout(err error) bool {
+	var e net.Error
+	return errors.Is(err, errStalled) || errors.As(err, &e) && e.Timeout()
+}
+
 // mayBeVersionFault reports whether an error can be due to the model version. An engine
 // that is leaving, overloaded or unreachable, or that has not loaded the version, is
 // not, nor is an attempt that the relayer migrated.
