Do not count resets of connections that were idle for long

Change: an end before the head on a reused connection counts only if the connection had rested for at most 100 ms, which shows that its endpoint keeps it.

--- a/internal/traffic/carrier/attempt.go
+++ b/internal/traffic/carrier/attempt.go
@@ -47,7 +47,9 @@
 	conn *dialer.Conn
 	// reused says that conn carried a request before. It is kept here since conn may carry another one
 	// once the attempt is finished.
-	reused      bool
+	reused bool
+	// rested is how long conn was idle before.
+	rested      time.Duration
 	attempt     *chooser.Attempt
 	writeResult chan error
 	cancel      context.CancelFunc
@@ -124,7 +126,7 @@
 		a.c.cfg.Pool.Discard(conn)
 		return &attemptError{reason: "not sent", err: errEvacuated}
 	}
-	a.conn, a.reused = conn, conn.Reused
+	a.conn, a.reused, a.rested = conn, conn.Reused, conn.Rested
 	return nil
 }
 
--- a/internal/traffic/carrier/outcome.go
+++ b/internal/traffic/carrier/outcome.go
@@ -9,6 +9,10 @@
 	"pomelotiller/internal/traffic/quarantiner"
 )
 
+// maxAliveRest is how long an idle connection may rest and still be taken for one that the endpoint keeps. Idle
+// timeouts below it are unusual.
+const maxAliveRest = 100 * time.Millisecond
+
 // OutcomeKind is how an attempt at an endpoint ended.
 type OutcomeKind int
 
@@ -89,9 +93,9 @@
 	}
 }
 
-// isEndedAfterSending reports whether the endpoint closed the connection after the request was sent on it. What
-// else befalls an attempt on a reused connection before its answer may come from earlier: it may have died
-// unnoticed, or hold what an earlier request left.
+// isEndedAfterSending reports whether the endpoint ended a reused connection after the request was sent on it. What
+// else befalls an attempt there before its answer may come from earlier: what an earlier request left, or the
+// connection died or was forgotten while it was idle.
 func (a *answer) isEndedAfterSending(err error) bool {
-	return a.isRequestSent && quarantiner.IsConnectionLost(err)
+	return a.isRequestSent && a.rested <= maxAliveRest && quarantiner.IsConnectionLost(err)
 }
--- a/internal/traffic/dialer/dialer.go
+++ b/internal/traffic/dialer/dialer.go
@@ -62,6 +62,8 @@
 	silence *silenceReader
 	// Reused is set if the connection has carried a request before.
 	Reused bool
+	// Rested is how long the connection was idle before the present request.
+	Rested time.Duration
 	// hasInterim says that the last answer was an interim one, so that its final answer is still expected.
 	hasInterim bool
 
@@ -163,7 +165,7 @@
 			return p.openConn(ctx, t)
 		}
 		if now := time.Now(); now.Before(c.usableUntil) && now.Sub(c.idleSince) <= maxIdle && c.isClean() {
-			c.Reused = true
+			c.Reused, c.Rested = true, now.Sub(c.idleSince)
 			return c, nil
 		}
 		p.Discard(c)
