--- a/internal/control/assessor/breaks.go
+++ b/internal/control/assessor/breaks.go
@@ -13,8 +13,8 @@
 // Attempt is an attempt at an endpoint, as far as it tells whether the endpoint lives.
 type Attempt struct {
 	Endpoint string
-	// ConnectedAt is when the connection of the attempt was opened, and SentAt when its request was sent. A zero
-	// time counts as earlier than any event.
+	// ConnectedAt is when the connection of the attempt was opened, and SentAt when the attempt began. A zero time
+	// counts as earlier than any event.
 	ConnectedAt, SentAt time.Time
 	// HasHead reports that the endpoint sent the head of an answer to the request.
 	HasHead bool
@@ -46,7 +46,7 @@
 	return false
 }
 
-// RecordAnswer records that an endpoint answered an attempt completely.
+// RecordAnswer records that an endpoint answered an attempt, completely or with the first event of a stream.
 func (b Breaks) RecordAnswer(a Attempt, now time.Time) {
 	e := b[a.Endpoint]
 	if e == nil {
@@ -54,7 +54,7 @@
 	}
 	isLater := !a.SentAt.Before(e.at)
 	e.hasAnswered = e.hasAnswered || isLater
-	// After a cut some connections live on and others do not.
+	// After a cut some connections live on and others do not: those that live say nothing of the silent ones.
 	if !e.isSilent && a.ConnectedAt.Before(e.at) && (isLater || now.Sub(e.at) >= arrivalMargin) {
 		e.hasKeptConnection = true
 	}
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -94,8 +94,13 @@
 	// FaultTrickle stalls a stream in the middle and then sends single bytes that never
 	// complete an event.
 	FaultTrickle
+	// FaultFalsePromise runs the request and answers one of falsePromises, without saying that it ran nothing.
+	FaultFalsePromise
 )
 
+// falsePromises are statuses that callers take for a promise that a request was not run.
+var falsePromises = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+
 // Run records one run of a request.
 type Run struct {
 	// At is the time at which the run began.
--- a/internal/traffic/carrier/outcome.go
+++ b/internal/traffic/carrier/outcome.go
@@ -9,7 +9,7 @@
 	"pomelotiller/internal/traffic/quarantiner"
 )
 
-// maxAliveRest is how long an idle connection may rest and still be taken for one that the endpoint keeps. Idle
+// maxAliveRest is how long a connection may be idle and still be taken for one that its endpoint keeps open. Idle
 // timeouts below it are unusual.
 const maxAliveRest = 100 * time.Millisecond
 
